--- /dev/null
+++ b/pkg/fault/fault_test.go
@@ -0,0 +1,31 @@
+package fault
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// Guards against a kind whose answer tells the caller to repeat a request that may have run.
+func TestRetriableKindsProveNotRun(t *testing.T) {
+	for _, kind := range Kinds() {
+		answer := AnswerFor(kind)
+		if answer.Retriable && answer.Effect != EffectNotRun {
+			t.Errorf("%s is retriable but does not prove that the request did not run", kind)
+		}
+		if answer.Code == 0 || answer.HTTP == 0 {
+			t.Errorf("%s has no code or HTTP status", kind)
+		}
+	}
+}
+
+// Guards against losing the kind when an error is wrapped.
+func TestOfFindsWrappedKind(t *testing.T) {
+	err := errors.Wrap(New(QueueFull, "bound of %d reached", 3), "submit")
+	if got := Of(err).Kind; got != QueueFull {
+		t.Errorf("Of() = %s, want %s", got, QueueFull)
+	}
+	if got := Of(errors.New("boom")).Kind; got != Internal {
+		t.Errorf("Of() of a foreign error = %s, want %s", got, Internal)
+	}
+}
--- /dev/null
+++ b/pkg/fleet/ids.go
@@ -0,0 +1,67 @@
+// Package fleet holds the ids and units of the system and the inventory of its machines.
+package fleet
+
+import "time"
+
+// Ids of machines, places and parties. All are opaque strings.
+type (
+	// VMID identifies a VM in the platform's list.
+	VMID string
+	// WorkerID identifies a worker; it is the VM id of the worker.
+	WorkerID string
+	// TargetID identifies a target; it is the VM id of the target.
+	TargetID string
+	// RackID identifies a rack within its data centre.
+	RackID string
+	// DataCentreID identifies a data centre.
+	DataCentreID string
+	// RegionID identifies a region, which is also a scheduling domain.
+	RegionID string
+	// ServiceName names the service that a group of targets provides.
+	ServiceName string
+	// OrganisationID identifies an organisation.
+	OrganisationID string
+	// CallerID identifies a party within an organisation.
+	CallerID string
+	// ProfileName names a profile within its organisation.
+	ProfileName string
+	// JobID identifies a job within its organisation.
+	JobID string
+	// RequestID identifies a request within its organisation.
+	RequestID string
+	// LeaseID identifies a lease on a worker.
+	LeaseID string
+)
+
+// Units that the standard library has no type for.
+type (
+	// Accelerators counts accelerators.
+	Accelerators int
+	// Cores counts processor cores.
+	Cores int
+	// Bytes is a size in bytes.
+	Bytes int64
+	// Revision numbers accepted configurations, from 1.
+	Revision int64
+	// Attempt numbers the attempts of a job, from 1.
+	Attempt int
+	// AcceleratorTime is accelerators multiplied by time.
+	AcceleratorTime time.Duration
+)
+
+// JobKey identifies a job across organisations.
+type JobKey struct {
+	Organisation OrganisationID `json:"organisation"`
+	Job          JobID          `json:"job_id"`
+}
+
+// String returns the key as organisation/job.
+func (key JobKey) String() string {
+	return string(key.Organisation) + "/" + string(key.Job)
+}
+
+// CallerKey identifies a caller across organisations.
+type CallerKey struct {
+	Organisation OrganisationID `json:"organisation"`
+	Caller       CallerID       `json:"caller"`
+}
