--- /dev/null
+++ b/pkg/profile/check.go
@@ -0,0 +1,148 @@
+package profile
+
+import (
+	"fmt"
+	"regexp"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/strictjson"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Bounds of what a document may ask for.
+const (
+	// MaxGang is the largest number of accelerators of one gang.
+	MaxGang fleet.Accelerators = 256
+	// MaxWaitingLimit bounds every queue bound.
+	MaxWaitingLimit = 100_000
+	// MaxBodyLimit bounds the body of a request; values of the platform's store hold at most 1 MB.
+	MaxBodyLimit fleet.Bytes = 512 << 10
+	// MaxInputLimit bounds the input of a job, which is kept in its record.
+	MaxInputLimit fleet.Bytes = 64 << 10
+	// MaxRequestTime bounds the run time of a request; a seat's new holder waits this long at most.
+	MaxRequestTime = 5 * time.Minute
+	// MaxGuarantees bounds the guaranteed shapes of one organisation.
+	MaxGuarantees = 1000
+	// MaxProfiles bounds the profiles of one organisation.
+	MaxProfiles = 200
+	// MaxDocument bounds the size of one organisation's document.
+	MaxDocument = 256 << 10
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,63}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// ValidName reports whether text can be an id: 1 to 64 characters of [a-z0-9._-], the first a letter or digit.
+func ValidName(text string) bool {
+	return namePattern.MatchString(text)
+}
+
+// ParseOrganisation reads and checks one organisation's document. The error is a strictjson.Problems that
+// lists everything wrong.
+func ParseOrganisation(data []byte) (*Organisation, error) {
+	var problems strictjson.Problems
+	if len(data) > MaxDocument {
+		problems.Add("", "document of %d bytes exceeds %d", len(data), MaxDocument)
+		return nil, problems
+	}
+	organisation := &Organisation{}
+	problems = strictjson.Decode(data, organisation)
+	organisation.check(&problems)
+	if err := problems.Err(); err != nil {
+		return nil, err
+	}
+	return organisation, nil
+}
+
+func (organisation *Organisation) check(problems *strictjson.Problems) {
+	checkName(problems, "organisation", string(organisation.ID))
+	checkRange(problems, "quota", int64(organisation.Quota), 0, 1_000_000)
+	checkRange(problems, "max_waiting", int64(organisation.MaxWaiting), 1, MaxWaitingLimit)
+	for i, hash := range organisation.TokenHashes {
+		if !hashPattern.MatchString(hash) {
+			problems.Add(fmt.Sprintf("token_sha256[%d]", i), "needs 64 hexadecimal digits in lower case")
+		}
+	}
+	checkRange(problems, "guarantees", int64(len(organisation.Guarantees)), 0, MaxGuarantees)
+	var total fleet.Accelerators
+	for i, guarantee := range organisation.Guarantees {
+		path := fmt.Sprintf("guarantees[%d]", i)
+		checkRange(problems, path+".count", int64(guarantee.Count), 1, MaxGuarantees)
+		checkShape(problems, path+".shape", guarantee.Shape)
+		total += fleet.Accelerators(guarantee.Count) * guarantee.Shape.Total()
+	}
+	if organisation.Quota > 0 && total > organisation.Quota {
+		problems.Add("quota", "quota of %d accelerators is less than the %d that are guaranteed", organisation.Quota, total)
+	}
+	organisation.checkProfiles(problems)
+}
+
+func (organisation *Organisation) checkProfiles(problems *strictjson.Problems) {
+	checkRange(problems, "profiles", int64(len(organisation.Profiles)), 0, MaxProfiles)
+	seen := map[fleet.ProfileName]bool{}
+	for i := range organisation.Profiles {
+		profile := &organisation.Profiles[i]
+		path := fmt.Sprintf("profiles[%d]", i)
+		profile.check(problems, path)
+		if seen[profile.Name] {
+			problems.Add(path+".name", "name %q is used twice", profile.Name)
+		}
+		seen[profile.Name] = true
+		if organisation.Quota > 0 && profile.IsJob() && profile.Shape.Total() > organisation.Quota {
+			problems.Add(path+".shape", "gang of %d accelerators exceeds the quota of %d", profile.Shape.Total(), organisation.Quota)
+		}
+	}
+}
+
+func (profile *Profile) check(problems *strictjson.Problems, path string) {
+	checkName(problems, path+".name", string(profile.Name))
+	limits := path + ".limits"
+	checkRange(problems, limits+".max_waiting", int64(profile.Limits.MaxWaiting), 1, MaxWaitingLimit)
+	switch {
+	case profile.IsJob() && profile.Service != "":
+		problems.Add(path, "has both shape and service; a profile is for jobs or for requests")
+	case profile.IsJob():
+		checkShape(problems, path+".shape", *profile.Shape)
+		checkRange(problems, limits+".max_body_bytes", int64(profile.Limits.MaxBody), 0, int64(MaxInputLimit))
+		checkDuration(problems, limits+".max_run_time", profile.Limits.MaxRunTime, 0, 90*24*time.Hour)
+	case profile.Service != "":
+		checkName(problems, path+".service", string(profile.Service))
+		checkRange(problems, limits+".max_body_bytes", int64(profile.Limits.MaxBody), 1, int64(MaxBodyLimit))
+		checkDuration(problems, limits+".max_run_time", profile.Limits.MaxRunTime, time.Millisecond, MaxRequestTime)
+		if profile.Checkpoint {
+			problems.Add(path+".checkpoint", "requests to a service cannot checkpoint")
+		}
+	default:
+		problems.Add(path, "needs shape for jobs or service for requests")
+	}
+}
+
+func checkShape(problems *strictjson.Problems, path string, shape fleet.Shape) {
+	checkRange(problems, path+".members", int64(shape.Members), 1, int64(MaxGang))
+	checkRange(problems, path+".accelerators", int64(shape.Accelerators), 1, int64(MaxGang))
+	checkRange(problems, path+".cores", int64(shape.Cores), 0, 4096)
+	checkRange(problems, path+".memory_bytes", int64(shape.Memory), 0, 64<<40)
+	if total := shape.Total(); total > MaxGang {
+		problems.Add(path, "gang of %d accelerators exceeds %d", total, MaxGang)
+	}
+}
+
+func checkName(problems *strictjson.Problems, path, name string) {
+	if !ValidName(name) {
+		problems.Add(path, "needs 1 to 64 characters of [a-z0-9._-], the first a letter or digit; got %q", name)
+	}
+}
+
+func checkRange(problems *strictjson.Problems, path string, value, least, most int64) {
+	if value < least || value > most {
+		problems.Add(path, "%d is not within %d to %d", value, least, most)
+	}
+}
+
+func checkDuration(problems *strictjson.Problems, path string, value Duration, least, most time.Duration) {
+	if duration := time.Duration(value); duration < least || duration > most {
+		problems.Add(path, "%v is not within %v to %v", duration, least, most)
+	}
+}
