--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,57 @@
+// Package examples holds the settings, organisations and fleets of the two deployments.
+package examples
+
+import (
+	"embed"
+	"path"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/internal/strictjson"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+//go:embed reed armor
+var files embed.FS
+
+// Deployment is one deployment's fleet and organisations.
+type Deployment struct {
+	Name          string
+	Fleet         fleet.Inventory
+	Organisations []*profile.Organisation
+}
+
+// Names returns the names of the deployments.
+func Names() []string { return []string{"reed", "armor"} }
+
+// Load returns the deployment of a name.
+func Load(name string) (*Deployment, error) {
+	data, err := files.ReadFile(path.Join(name, "fleet.json"))
+	if err != nil {
+		return nil, errors.Errorf("deployment %q is none of %v", name, Names())
+	}
+	deployment := &Deployment{Name: name}
+	if err := strictjson.Decode(data, &deployment.Fleet).Err(); err != nil {
+		return nil, errors.Wrapf(err, "fleet of %s", name)
+	}
+	entries, err := files.ReadDir(path.Join(name, "organisations"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "organisations of %s", name)
+	}
+	for _, entry := range entries {
+		data, err := files.ReadFile(path.Join(name, "organisations", entry.Name()))
+		if err != nil {
+			return nil, errors.Wrapf(err, "organisations of %s", name)
+		}
+		organisation, err := profile.ParseOrganisation(data)
+		if err != nil {
+			return nil, errors.Wrapf(err, "organisation %s", entry.Name())
+		}
+		deployment.Organisations = append(deployment.Organisations, organisation)
+	}
+	return deployment, nil
+}
+
+// Token returns the bearer token of an organisation in the examples. It protects nothing.
+func Token(id fleet.OrganisationID) string { return string(id) + "-token" }
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,43 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const valid = `{"vm_id":"entry-1","region":"nairobi","data_centre":"ngara","caller_address":"127.0.0.1:7001",
+"peer_address":"127.0.0.1:7101","store_address":"127.0.0.1:7900","peers":["127.0.0.1:7102"]}`
+
+// Guards against refusing the smallest valid file or losing a default.
+func TestParseAppliesDefaults(t *testing.T) {
+	settings, err := Parse([]byte(valid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if settings.Seats != 7 || settings.StoreWrites != 50 {
+		t.Errorf("defaults are lost: %+v", settings)
+	}
+}
+
+// Guards against a faulty setting that is accepted, or reported without its path.
+func TestParseRefusals(t *testing.T) {
+	tests := []struct{ name, old, new, path string }{
+		{"unknown field", `"vm_id"`, `"vmid"`, "vmid"},
+		{"missing id", `"vm_id":"entry-1",`, ``, "vm_id"},
+		{"host name", `127.0.0.1:7001`, `localhost:7001`, "caller_address"},
+		{"bad peer", `127.0.0.1:7102`, `127.0.0.1`, "peers[0]"},
+		{"same addresses", `127.0.0.1:7101`, `127.0.0.1:7001`, "peer_address"},
+		{"lease too short", `"region"`, `"renew_interval":"10s","region"`, "task_lease"},
+		{"half of tls", `"region"`, `"tls":{"key_file":"k"},"region"`, "tls"},
+		{"seats out of range", `"region"`, `"seats":0,"region"`, "seats"},
+		{"log level", `"region"`, `"log_level":"loud","region"`, "log_level"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := Parse([]byte(strings.Replace(valid, test.old, test.new, 1)))
+			if err == nil || !strings.Contains(err.Error(), test.path+":") {
+				t.Errorf("error %v does not name %s", err, test.path)
+			}
+		})
+	}
+}
