Serve go-metrics registries in the Prometheus text format

Cause: common collectors do not read go-metrics. Change: internal/metrics bridges a registry through client_golang; labels are written into registry names.

--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,122 @@
+// Package metrics serves a go-metrics registry to collectors in the Prometheus text format.
+package metrics
+
+import (
+	"net/http"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	gometrics "github.com/rcrowley/go-metrics"
+)
+
+// namespace starts every exported name.
+const namespace = "quetzalstall_"
+
+// Name returns a registry name with labels, given as pairs of label and value: requests{kind=queue_full}.
+func Name(name string, labels ...string) string {
+	if len(labels) < 2 {
+		return name
+	}
+	pairs := make([]string, 0, len(labels)/2)
+	for i := 0; i+1 < len(labels); i += 2 {
+		pairs = append(pairs, labels[i]+"="+labels[i+1])
+	}
+	return name + "{" + strings.Join(pairs, ",") + "}"
+}
+
+// NewHandler returns a handler that serves the current values of a registry.
+func NewHandler(registry gometrics.Registry) http.Handler {
+	collectors := prometheus.NewRegistry()
+	collectors.MustRegister(&collector{registry: registry})
+	return promhttp.HandlerFor(collectors, promhttp.HandlerOpts{MaxRequestsInFlight: 4})
+}
+
+// collector reads a go-metrics registry at each collection. Its metrics are not described in advance.
+type collector struct {
+	registry gometrics.Registry
+}
+
+// Describe describes nothing, which makes the collector an unchecked one.
+func (collector *collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect sends the value of every metric.
+func (collector *collector) Collect(into chan<- prometheus.Metric) {
+	sent := map[string]bool{}
+	collector.registry.Each(func(name string, metric any) {
+		parsed := parseName(name)
+		if sent[parsed.key()] {
+			return
+		}
+		sent[parsed.key()] = true
+		send(into, parsed, metric)
+	})
+}
+
+func send(into chan<- prometheus.Metric, name exportedName, metric any) {
+	switch metric := metric.(type) {
+	case gometrics.Counter:
+		into <- name.constant(prometheus.CounterValue, float64(metric.Count()))
+	case gometrics.Gauge:
+		into <- name.constant(prometheus.GaugeValue, float64(metric.Value()))
+	case gometrics.GaugeFloat64:
+		into <- name.constant(prometheus.GaugeValue, metric.Value())
+	case gometrics.Meter:
+		into <- name.constant(prometheus.CounterValue, float64(metric.Snapshot().Count()))
+	case gometrics.Histogram:
+		snapshot := metric.Snapshot()
+		into <- name.summary(snapshot.Count(), float64(snapshot.Sum()), snapshot.Percentiles(quantiles))
+	case gometrics.Timer:
+		snapshot := metric.Snapshot()
+		into <- name.summary(snapshot.Count(), float64(snapshot.Sum()), snapshot.Percentiles(quantiles))
+	}
+}
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+var forbidden = regexp.MustCompile(`[^a-zA-Z0-9_]+`)
+
+// exportedName is a registry name in the form that collectors accept.
+type exportedName struct {
+	name           string
+	labels, values []string
+}
+
+// parseName splits a name made by Name; any other name is exported without labels.
+func parseName(text string) exportedName {
+	base, rest, hasLabels := strings.Cut(text, "{")
+	parsed := exportedName{name: namespace + forbidden.ReplaceAllString(base, "_")}
+	if !hasLabels {
+		return parsed
+	}
+	pairs := strings.Split(strings.TrimSuffix(rest, "}"), ",")
+	sort.Strings(pairs)
+	for _, pair := range pairs {
+		label, value, _ := strings.Cut(pair, "=")
+		parsed.labels = append(parsed.labels, forbidden.ReplaceAllString(label, "_"))
+		parsed.values = append(parsed.values, value)
+	}
+	return parsed
+}
+
+func (name exportedName) key() string {
+	return name.name + "\x00" + strings.Join(name.labels, ",") + "\x00" + strings.Join(name.values, ",")
+}
+
+func (name exportedName) description() *prometheus.Desc {
+	return prometheus.NewDesc(name.name, "See docs/OPERATIONS.md.", name.labels, nil)
+}
+
+func (name exportedName) constant(kind prometheus.ValueType, value float64) prometheus.Metric {
+	return prometheus.MustNewConstMetric(name.description(), kind, value, name.values...)
+}
+
+func (name exportedName) summary(count int64, sum float64, values []float64) prometheus.Metric {
+	byQuantile := make(map[float64]float64, len(quantiles))
+	for i, quantile := range quantiles {
+		byQuantile[quantile] = values[i]
+	}
+	return prometheus.MustNewConstSummary(name.description(), uint64(count), sum, byQuantile, name.values...)
+}
