--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -1,6 +1,9 @@
 package fault
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -29,3 +32,26 @@
 		t.Errorf("Of() of a foreign error = %s, want %s", got, Internal)
 	}
 }
+
+// Guards against a documented table of kinds that differs from the one in the code.
+func TestDocumentedTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/ERRORS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	effects := map[Effect]string{EffectNotRun: "not run", EffectUnknown: "unknown", EffectRan: "ran"}
+	for _, kind := range Kinds() {
+		answer := AnswerFor(kind)
+		retriable := "no"
+		if answer.Retriable {
+			retriable = "yes"
+		}
+		row := fmt.Sprintf("| `%s` | %s | %d | %s | %s |", kind, answer.Code, answer.HTTP, effects[answer.Effect], retriable)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/ERRORS.md lacks the row\n%s", row)
+		}
+	}
+	if rows := strings.Count(string(page), "\n| `"); rows != len(Kinds()) {
+		t.Errorf("docs/ERRORS.md has %d rows, want %d", rows, len(Kinds()))
+	}
+}
