--- /dev/null
+++ b/internal/transport/transport_test.go
@@ -0,0 +1,75 @@
+package transport_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/standin/network"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
+)
+
+// Guards against requests that hang on a connection which went silent without being closed.
+func TestSilentConnectionIsDetected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := network.New()
+		release := make(chan struct{})
+		server := transport.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/wait" {
+				select {
+				case <-release:
+				case <-request.Context().Done():
+				}
+			}
+			writer.WriteHeader(http.StatusNoContent)
+		}), nil)
+		go func() { _ = server.Serve(memory.Listen("peer:80")) }()
+		client := transport.NewHTTPClientWithDial(nil, memory.Dial)
+		defer client.CloseIdleConnections()
+		defer func() { _ = server.Close() }()
+		defer close(release)
+
+		get(t, client, "/")
+		get(t, client, "/")
+		if memory.Dials() != 1 {
+			t.Fatalf("%d connections for two requests, want 1", memory.Dials())
+		}
+		failed := make(chan time.Duration)
+		started := time.Now()
+		go func() {
+			response, err := client.Get("http://peer/wait")
+			if err == nil {
+				_ = response.Body.Close()
+				t.Error("request on a silent connection was answered")
+			}
+			failed <- time.Since(started)
+		}()
+		synctest.Wait()
+		memory.Silence()
+		if took := <-failed; took > 5*time.Second {
+			t.Errorf("silent connection detected after %v, want at most 5s", took)
+		}
+		get(t, client, "/")
+		if memory.Dials() != 2 {
+			t.Errorf("%d connections, want a second one after the silent one", memory.Dials())
+		}
+	})
+}
+
+func get(t *testing.T, client *http.Client, path string) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://peer"+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.ProtoMajor != 2 {
+		t.Errorf("answer by %s, want HTTP/2", response.Proto)
+	}
+}
