Add stand-in of a target

Cause: the request path needs a target that bounds and counts its slots and connections, and faults on demand.

--- /dev/null
+++ b/internal/standin/target/target_test.go
@@ -0,0 +1,126 @@
+package target
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func start(t *testing.T, adjust func(*Target)) (*Target, *http.Client) {
+	t.Helper()
+	target, err := New("target-1", 1, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	adjust(target)
+	target.Start()
+	t.Cleanup(target.Close)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{
+		Protocols: protocols,
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: 20 * time.Millisecond, PingTimeout: 20 * time.Millisecond},
+	}
+	t.Cleanup(transport.CloseIdleConnections)
+	return target, &http.Client{Transport: transport}
+}
+
+func post(client *http.Client, target *Target, id, body string) (*http.Response, []byte, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+target.Address()+"/run", strings.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	request.Header.Set("Request-Id", id)
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	return response, answer, err
+}
+
+// Guards against a stand-in whose faults do not reach the wire, which would make every test of them vacuous.
+func TestFaultsReachTheWire(t *testing.T) {
+	tests := map[string]struct {
+		fault     Fault
+		status    int
+		id        string
+		answer    string
+		readFails bool
+		begun     int
+	}{
+		"none":      {fault: FaultNone, status: 200, id: "a/1", answer: "hello", begun: 1},
+		"crossed":   {fault: FaultCrossed, status: 200, id: "a/1-other", answer: "answer of another request", begun: 1},
+		"truncated": {fault: FaultTruncated, status: 200, id: "a/1", answer: "he", readFails: true, begun: 1},
+		"refused":   {fault: FaultRefused, status: 503, id: "a/1"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			target, client := start(t, func(target *Target) {
+				target.Fault = func(string) Fault { return test.fault }
+			})
+			response, answer, err := post(client, target, "a/1", "hello")
+			if (err != nil) != test.readFails {
+				t.Fatalf("error = %v", err)
+			}
+			if response.StatusCode != test.status || response.Header.Get("Request-Id") != test.id {
+				t.Errorf("status %d, id %s", response.StatusCode, response.Header.Get("Request-Id"))
+			}
+			if string(answer) != test.answer {
+				t.Errorf("answer = %q, want %q", answer, test.answer)
+			}
+			if got := target.Record.Runs("a/1").Begun; got != test.begun {
+				t.Errorf("begun = %d, want %d", got, test.begun)
+			}
+		})
+	}
+}
+
+// Guards against a silent connection that still answers, or one that makes new connections fail.
+func TestSilentConnectionLeavesNewOnesWorking(t *testing.T) {
+	target, client := start(t, func(*Target) {})
+	if _, _, err := post(client, target, "a/1", "x"); err != nil {
+		t.Fatal(err)
+	}
+	if got := target.Silence(1); got != 1 {
+		t.Fatalf("silenced %d connections, want 1", got)
+	}
+	if _, _, err := post(client, target, "a/2", "x"); err == nil {
+		t.Error("a request on a silent connection was answered")
+	}
+	if _, _, err := post(client, target, "a/3", "x"); err != nil {
+		t.Errorf("new connection: %v", err)
+	}
+	if got := target.Record.Runs("a/2").Begun; got != 0 {
+		t.Errorf("a request on a silent connection began %d times", got)
+	}
+}
+
+// Guards against a stand-in that hides a router's breach of its limits.
+func TestLimitsAreCounted(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	target, client := start(t, func(target *Target) {
+		target.Behave = func(string, []byte) Behaviour {
+			close(begun)
+			<-release
+			return Behaviour{}
+		}
+	})
+	done := make(chan error, 1)
+	go func() { _, _, err := post(client, target, "a/1", "x"); done <- err }()
+	<-begun
+	response, _, err := post(client, target, "a/2", "x")
+	if err != nil || response.Header.Get("Not-Begun") != "true" {
+		t.Errorf("second request: %v, %v", response, err)
+	}
+	close(release)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	if usage := target.Record.Usage("target-1"); usage.HighestSlots != 2 || usage.RefusedSlots != 1 {
+		t.Errorf("usage = %+v", usage)
+	}
+}
