Run the stand-ins of a whole deployment on loopback

Cause: the demo and a hand-started system need the platform, 50 workers and 50 targets at once. Change: internal/standin/deployment; the first state of the VM list holds at once in spite of the lag.

--- /dev/null
+++ b/internal/standin/deployment/deployment.go
@@ -0,0 +1,191 @@
+// Package deployment runs the stand-ins of a whole deployment on loopback: platform, workers and targets.
+package deployment
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quetzalstall/quetzalstall/internal/standin/platform"
+	"github.com/quetzalstall/quetzalstall/internal/standin/target"
+	"github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
+	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// anyPort lets the system choose a free port on loopback.
+const anyPort = "127.0.0.1:0"
+
+// ListLag is how far the stand-in's list of VMs lags behind.
+const ListLag = time.Second
+
+// Standins are the running stand-ins of one deployment.
+type Standins struct {
+	// Fleet is the inventory; its addresses are those in use after Start.
+	Fleet fleet.Inventory
+	// FixedPorts keeps the addresses of Fleet; otherwise the system chooses the ports.
+	FixedPorts bool
+	// PlatformAddress is that of the store and the VM list; it is set by Start unless FixedPorts is true.
+	PlatformAddress string
+
+	Platform     *platform.Platform
+	Workers      map[fleet.WorkerID]*worker.Worker
+	Targets      map[fleet.TargetID]*target.Target
+	WorkerRecord *worker.Record
+	TargetRecord *target.Record
+
+	servers []*http.Server
+	group   errgroup.Group
+}
+
+// New returns the stand-ins of a fleet, which do not run yet.
+func New(inventory fleet.Inventory) *Standins {
+	inventory.Workers = slices.Clone(inventory.Workers)
+	inventory.Targets = slices.Clone(inventory.Targets)
+	inventory.Entries = slices.Clone(inventory.Entries)
+	return &Standins{
+		Fleet:        inventory,
+		Platform:     platform.New(),
+		Workers:      map[fleet.WorkerID]*worker.Worker{},
+		Targets:      map[fleet.TargetID]*target.Target{},
+		WorkerRecord: worker.NewRecord(),
+		TargetRecord: target.NewRecord(),
+	}
+}
+
+// Start starts every stand-in and publishes the list of VMs.
+func (standins *Standins) Start() error {
+	if err := standins.startPlatform(); err != nil {
+		return err
+	}
+	for i := range standins.Fleet.Workers {
+		if err := standins.startWorker(&standins.Fleet.Workers[i]); err != nil {
+			return err
+		}
+	}
+	for i := range standins.Fleet.Targets {
+		if err := standins.startTarget(&standins.Fleet.Targets[i]); err != nil {
+			return err
+		}
+	}
+	standins.Publish()
+	standins.Platform.SetListLag(ListLag)
+	return nil
+}
+
+func (standins *Standins) startPlatform() error {
+	address := anyPort
+	if standins.FixedPorts {
+		address = standins.PlatformAddress
+	}
+	address, err := standins.serve(address, standins.Platform.Handler())
+	standins.PlatformAddress = address
+	return err
+}
+
+func (standins *Standins) startWorker(machine *fleet.Worker) error {
+	standin := worker.New(*machine, standins.WorkerRecord, worker.Settings{})
+	address, err := standins.serve(standins.address(machine.Address), standin.Handler())
+	machine.Address = address
+	standins.Workers[machine.ID] = standin
+	return err
+}
+
+func (standins *Standins) startTarget(machine *fleet.Target) error {
+	standin, err := target.New(machine.ID, machine.Slots, machine.Connections)
+	if err != nil {
+		return errors.Wrapf(err, "target %s", machine.ID)
+	}
+	if standins.FixedPorts {
+		listener, err := net.Listen("tcp", machine.Address)
+		if err != nil {
+			return errors.Wrapf(err, "target %s", machine.ID)
+		}
+		_ = standin.Listener.Close()
+		standin.Listener = listener
+	}
+	standin.Record = standins.TargetRecord
+	standin.Start()
+	machine.Address = standin.Address()
+	standins.Targets[machine.ID] = standin
+	return nil
+}
+
+func (standins *Standins) address(wanted string) string {
+	if standins.FixedPorts {
+		return wanted
+	}
+	return anyPort
+}
+
+// serve serves handler and returns the address in use.
+func (standins *Standins) serve(address string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	server := transport.NewServer(handler, nil)
+	standins.servers = append(standins.servers, server)
+	standins.group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return listener.Addr().String(), nil
+}
+
+// Publish sets the platform's list of VMs to Fleet.
+func (standins *Standins) Publish() {
+	inventory := standins.Fleet
+	vms := make([]*platformv1.VM, 0, len(inventory.Workers)+len(inventory.Targets)+len(inventory.Entries))
+	for _, machine := range inventory.Entries {
+		vms = append(vms, &platformv1.VM{
+			Id: string(machine.ID), Address: machine.Address, Role: platformv1.VMRole_VM_ROLE_ENTRY, State: state(machine.Leaving),
+			Region: string(machine.Region), DataCentre: string(machine.DataCentre),
+		})
+	}
+	for _, machine := range inventory.Workers {
+		vms = append(vms, &platformv1.VM{
+			Id: string(machine.ID), Address: machine.Address, Role: platformv1.VMRole_VM_ROLE_WORKER, State: state(machine.Leaving),
+			Region: string(machine.Region), DataCentre: string(machine.DataCentre), Rack: string(machine.Rack),
+			Cores: int32(machine.Cores), MemoryBytes: int64(machine.Memory), Accelerators: int32(machine.Accelerators),
+		})
+	}
+	for _, machine := range inventory.Targets {
+		vms = append(vms, &platformv1.VM{
+			Id: string(machine.ID), Address: machine.Address, Role: platformv1.VMRole_VM_ROLE_TARGET, State: state(machine.Leaving),
+			DataCentre: string(machine.DataCentre), Service: string(machine.Service),
+			Slots: int32(machine.Slots), Connections: int32(machine.Connections),
+		})
+	}
+	standins.Platform.SetVMs(vms...)
+}
+
+func state(leaving bool) platformv1.VMState {
+	if leaving {
+		return platformv1.VMState_VM_STATE_LEAVING
+	}
+	return platformv1.VMState_VM_STATE_LIVE
+}
+
+// Close ends every stand-in and waits until all have stopped serving.
+func (standins *Standins) Close() error {
+	for _, standin := range standins.Targets {
+		standin.Close()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, server := range standins.servers {
+		if err := server.Shutdown(ctx); err != nil {
+			_ = server.Close()
+		}
+	}
+	return standins.group.Wait()
+}
--- a/internal/standin/platform/vmlist.go
+++ b/internal/standin/platform/vmlist.go
@@ -18,11 +18,13 @@
 func (platform *Platform) SetVMs(vms ...*platformv1.VM) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
-	revision := int64(1)
+	// The first state holds since ever, so that a list that lags is not empty at its start.
+	next := listing{vms: slices.Clone(vms), revision: 1}
 	if last := len(platform.listings) - 1; last >= 0 {
-		revision = platform.listings[last].revision + 1
+		next.since = time.Now()
+		next.revision = platform.listings[last].revision + 1
 	}
-	platform.listings = append(platform.listings, listing{time.Now(), slices.Clone(vms), revision})
+	platform.listings = append(platform.listings, next)
 }
 
 // SetListLag sets the time by which the list lags behind SetVMs.
