--- /dev/null
+++ b/internal/demo/result.go
@@ -0,0 +1,106 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+)
+
+// Result is what a demo run counted. All counts of what ran come from the stand-ins' own record.
+type Result struct {
+	Deployment string  `json:"deployment"`
+	Seed       int64   `json:"seed"`
+	DurationS  float64 `json:"duration_s"`
+
+	JobsSubmitted int `json:"jobs_submitted"`
+	JobsCompleted int `json:"jobs_completed"`
+	JobsFailed    int `json:"jobs_failed"`
+	JobsCancelled int `json:"jobs_cancelled"`
+	JobsNotRun    int `json:"jobs_not_run"`
+	JobsUnknown   int `json:"jobs_unknown"`
+
+	RequestsSubmitted int `json:"requests_submitted"`
+	RequestsCompleted int `json:"requests_completed"`
+	RequestsFailed    int `json:"requests_failed"`
+	RequestsNotRun    int `json:"requests_not_run"`
+	RequestsUnknown   int `json:"requests_unknown"`
+
+	ConfigEdits     int `json:"config_edits"`
+	GuaranteeProbes int `json:"guarantee_probes"`
+	SlotsExceeded   int `json:"slots_exceeded"`
+
+	// The following are 0 when every promise held.
+	PartialGangs    int `json:"partial_gangs"`
+	DoubleRuns      int `json:"double_runs"`
+	UntrueAnswers   int `json:"untrue_answers"`
+	LostAnswers     int `json:"lost_answers"`
+	ConfigReverts   int `json:"config_reverts"`
+	GuaranteesUnmet int `json:"guarantees_unmet"`
+
+	// RefusedKinds counts the refusals that callers were told, by kind.
+	RefusedKinds map[string]int `json:"refused_kinds"`
+	// Details describes each broken promise.
+	Details []string `json:"details"`
+}
+
+// Broken returns the number of broken promises.
+func (result *Result) Broken() int {
+	return result.PartialGangs + result.DoubleRuns + result.UntrueAnswers + result.LostAnswers +
+		result.ConfigReverts + result.GuaranteesUnmet + result.SlotsExceeded
+}
+
+// add counts broken promises and keeps their descriptions.
+func (result *Result) add(count *int, label string, details []string) {
+	*count += len(details)
+	for _, detail := range details {
+		result.Details = append(result.Details, label+": "+detail)
+	}
+}
+
+// WriteJSON writes the result as one JSON object.
+func (result *Result) WriteJSON(out io.Writer) error {
+	text, err := json.MarshalIndent(result, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "write result")
+	}
+	_, err = fmt.Fprintln(out, string(text))
+	return err
+}
+
+// WriteTable writes the result as a table for people.
+func (result *Result) WriteTable(out io.Writer) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { fmt.Fprintf(table, "%s\t%v\n", name, value) }
+	row("deployment", result.Deployment)
+	row("seed", result.Seed)
+	row("duration", fmt.Sprintf("%.0f s", result.DurationS))
+	row("jobs", fmt.Sprintf("%d submitted, %d completed, %d failed, %d cancelled, %d not run, %d unknown", result.JobsSubmitted,
+		result.JobsCompleted, result.JobsFailed, result.JobsCancelled, result.JobsNotRun, result.JobsUnknown))
+	row("requests", fmt.Sprintf("%d submitted, %d completed, %d failed, %d not run, %d unknown", result.RequestsSubmitted,
+		result.RequestsCompleted, result.RequestsFailed, result.RequestsNotRun, result.RequestsUnknown))
+	row("configuration edits", result.ConfigEdits)
+	row("guarantee probes", result.GuaranteeProbes)
+	kinds := make([]string, 0, len(result.RefusedKinds))
+	for kind := range result.RefusedKinds {
+		kinds = append(kinds, kind)
+	}
+	sort.Strings(kinds)
+	for _, kind := range kinds {
+		row("refused "+kind, result.RefusedKinds[kind])
+	}
+	row("partial gangs", result.PartialGangs)
+	row("double runs", result.DoubleRuns)
+	row("untrue answers", result.UntrueAnswers)
+	row("lost answers", result.LostAnswers)
+	row("configuration reverts", result.ConfigReverts)
+	row("guarantees unmet", result.GuaranteesUnmet)
+	row("slots exceeded", result.SlotsExceeded)
+	for _, detail := range result.Details {
+		row("", detail)
+	}
+	return errors.Wrap(table.Flush(), "write table")
+}
