Add the pure scheduling core

Cause: the domain owner needs decisions: guarantees as cells, borrowing by preemptible work, reclaim, fair order, bounded queues, failure attribution.

Work that cannot be preempted exceeds its own cells on a worker by no more than what no cell covers, so every cell can be emptied. The binding of jobs to cells stays a count per worker and organisation.

Conclusion: correct base; fragmentation, completion time and cost at the design size are not measured yet.

--- /dev/null
+++ b/pkg/scheduler/core_test.go
@@ -0,0 +1,239 @@
+package scheduler
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+// urgentBound is the bound for an urgent start less the time to reserve and start.
+const urgentBound = 4700*time.Millisecond - 500*time.Millisecond
+
+// Guards against a guarantee that cannot be reclaimed in time from borrowers, whether these checkpoint in
+// time, late or not at all, or ignore the stop.
+func TestUrgentJobReclaimsItsCellInTime(t *testing.T) {
+	tests := []struct {
+		name           string
+		checkpointTime time.Duration
+		stubborn       bool
+		members        int
+	}{
+		{"checkpoint in time", time.Second, false, 1},
+		{"checkpoint too late", time.Minute, false, 1},
+		{"gang of four workers", time.Minute, false, 4},
+		{"one victim ignores its stop", time.Minute, true, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			form := shape(test.members, 8, fleet.AdjacencyRack)
+			config := configure(map[fleet.OrganisationID][]profile.Guarantee{
+				"reed":  {{Count: 2, Shape: form}},
+				"valve": nil,
+			})
+			harness := newHarness(t, machines(16, 4, 1), config)
+			harness.checkpointTime = test.checkpointTime
+			small := preemptible("small", shape(1, 2, fleet.AdjacencyWorker), profile.UrgencyNormal)
+			for range 16 * 4 {
+				harness.submit("valve", "caller", small, time.Hour)
+			}
+			harness.decide()
+			if test.stubborn {
+				home := harness.core.byID["reed"].cellWorkers[0]
+				harness.stubborn[home.gangs[0].job.Key] = true
+			}
+			harness.advance(10 * time.Second)
+			urgent := harness.submit("reed", "caller", preemptible("urgent", form, profile.UrgencyUrgent), time.Minute)
+			harness.decide()
+			asked := harness.now
+			harness.advance(urgentBound)
+			began, ok := harness.first[urgent]
+			if !ok {
+				t.Fatalf("not started after %s: %v", harness.now.Sub(asked), harness.core.Explain(urgent))
+			}
+			t.Logf("started after %s with %d evictions", began.Sub(asked), harness.evicts)
+		})
+	}
+}
+
+// Guards against work that cannot be preempted occupying cells of others.
+func TestPinnedWorkStaysOutOfCellsOfOthers(t *testing.T) {
+	form := shape(1, 8, fleet.AdjacencyWorker)
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{
+		"reed":  {{Count: 3, Shape: form}},
+		"valve": nil,
+	})
+	harness := newHarness(t, machines(4, 4, 1), config)
+	for range 32 {
+		harness.submit("valve", "caller", pinned("pinned", shape(1, 1, fleet.AdjacencyWorker)), time.Hour)
+	}
+	harness.decide()
+	if started := len(harness.gangs); started != 8 {
+		t.Errorf("%d jobs started, want the 8 that fit outside cells", started)
+	}
+	for range 3 {
+		harness.submit("reed", "caller", pinned("pinned", form), time.Hour)
+	}
+	harness.decide()
+	if started := len(harness.gangs); started != 11 {
+		t.Errorf("%d jobs started, want 11", started)
+	}
+}
+
+// Guards against wrong verdicts for the ends of attempts.
+func TestVerdicts(t *testing.T) {
+	form := shape(1, 8, fleet.AdjacencyWorker)
+	once := pinned("once", form)
+	saved := pinned("saved", form)
+	saved.Checkpoint = true
+	again := preemptible("again", form, profile.UrgencyNormal)
+	tests := []struct {
+		name    string
+		profile profile.Profile
+		result  EndResult
+		cancel  bool
+		ended   bool
+		verdict Verdict
+	}{
+		{"completed", once, EndCompleted, false, true, VerdictCompleted},
+		{"completed before the cancellation", once, EndCompleted, true, true, VerdictCompleted},
+		{"lost, must not run twice", once, EndLost, false, true, VerdictUnknown},
+		{"lost but cancelled", once, EndLost, true, true, VerdictCancelled},
+		{"lost, may run twice", again, EndLost, false, false, 0},
+		{"stopped without checkpoint", saved, EndStopped, false, true, VerdictUnknown},
+		{"checkpointed", saved, EndCheckpointed, false, false, 0},
+		{"failed, must not run twice", once, EndFailed, false, true, VerdictFailed},
+		{"failed, may run twice", again, EndFailed, false, false, 0},
+		{"stopped and cancelled", again, EndStopped, true, true, VerdictCancelled},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			harness := newHarness(t, machines(4, 4, 1), configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": nil}))
+			key := harness.submit("reed", "caller", test.profile, time.Hour)
+			harness.decide()
+			if test.cancel {
+				harness.core.Apply(harness.now, JobCancelled{key})
+			}
+			harness.end(key, test.result)
+			harness.decide()
+			finish, ended := harness.ended[key]
+			if ended != test.ended || ended && finish.Verdict != test.verdict {
+				t.Errorf("ended %t with verdict %d, want %t with %d", ended, finish.Verdict, test.ended, test.verdict)
+			}
+		})
+	}
+}
+
+// Guards against taking a worker's failures for the jobs' and the reverse, and against a quarantine of more
+// than a tenth of the fleet.
+func TestFailuresAreAttributed(t *testing.T) {
+	harness := newHarness(t, machines(40, 4, 1), configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": nil}))
+	for _, id := range []fleet.WorkerID{"worker-00003", "worker-00017"} {
+		harness.broken[id] = true
+	}
+	small := preemptible("small", shape(1, 4, fleet.AdjacencyWorker), profile.UrgencyNormal)
+	var good, bad []fleet.JobKey
+	for i := range 400 {
+		key := harness.submit("reed", "caller", small, 20*time.Second)
+		if i%20 == 7 {
+			harness.faulty[key] = true
+			bad = append(bad, key)
+		} else {
+			good = append(good, key)
+		}
+	}
+	harness.decide()
+	harness.advance(5 * time.Minute)
+	for _, key := range good {
+		if finish, ok := harness.ended[key]; !ok || finish.Verdict != VerdictCompleted {
+			t.Errorf("job %s: ended %t with %+v, want completed", key, ok, finish)
+		}
+	}
+	for _, key := range bad {
+		if finish, ok := harness.ended[key]; !ok || finish.Verdict != VerdictFailed {
+			t.Errorf("job %s: ended %t with %+v, want failed", key, ok, finish)
+		}
+	}
+	for id := range harness.quarantines {
+		if !harness.broken[id] {
+			t.Errorf("worker %s is sound but was quarantined", id)
+		}
+	}
+	if len(harness.quarantines) != 2 {
+		t.Errorf("%d workers were quarantined, want 2", len(harness.quarantines))
+	}
+}
+
+// Guards against unbounded queues and against waiting jobs that can never run.
+func TestRefusals(t *testing.T) {
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": nil})
+	config.Organisations["reed"].MaxWaiting = 3
+	harness := newHarness(t, machines(2, 2, 1), config)
+	whole := preemptible("whole", shape(2, 8, fleet.AdjacencyRack), profile.UrgencyNormal)
+	var keys []fleet.JobKey
+	for range 6 {
+		keys = append(keys, harness.submit("reed", "caller", whole, time.Hour))
+		harness.decide()
+	}
+	refused := 0
+	for _, key := range keys {
+		if finish, ok := harness.ended[key]; ok && finish.Verdict == VerdictNotRun && finish.Kind == "queue_full" {
+			refused++
+		}
+	}
+	if refused != 2 {
+		t.Errorf("%d jobs were refused, want 2: one runs and three wait", refused)
+	}
+	large := harness.submit("reed", "caller", preemptible("large", shape(3, 8, fleet.AdjacencyRack), 0), time.Hour)
+	harness.decide()
+	if finish := harness.ended[large]; finish.Kind != "infeasible" || finish.Verdict != VerdictNotRun {
+		t.Errorf("a job larger than the fleet ended with %+v", finish)
+	}
+	harness.core.Apply(harness.now, FleetChanged{machines(2, 2, 1)[:1]})
+	harness.decide()
+	for _, key := range keys[1:4] {
+		if finish := harness.ended[key]; finish.Kind != "infeasible" || finish.Verdict != VerdictNotRun {
+			t.Errorf("job %s: ended with %+v after the fleet shrank", key, finish)
+		}
+	}
+}
+
+// Guards against double placement, partial gangs and cells that cannot be emptied under mixed load.
+func TestInvariantsUnderMixedLoad(t *testing.T) {
+	for seed := range uint64(4) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		config := configure(map[fleet.OrganisationID][]profile.Guarantee{
+			"reed":  {{Count: 2, Shape: shape(2, 8, fleet.AdjacencyRack)}, {Count: 4, Shape: shape(1, 4, fleet.AdjacencyWorker)}},
+			"valve": {{Count: 1, Shape: shape(4, 4, fleet.AdjacencyDataCentre)}},
+			"horn":  nil,
+		})
+		harness := newHarness(t, machines(16, 4, 2), config)
+		shapes := []fleet.Shape{
+			shape(1, 1, fleet.AdjacencyWorker), shape(1, 4, fleet.AdjacencyWorker), shape(2, 8, fleet.AdjacencyRack),
+			shape(4, 4, fleet.AdjacencyDataCentre), shape(2, 3, fleet.AdjacencyRack),
+		}
+		owners := []fleet.OrganisationID{"reed", "valve", "horn"}
+		var keys []fleet.JobKey
+		for range 400 {
+			used := preemptible("any", shapes[random.IntN(len(shapes))], profile.Urgency(random.IntN(4)))
+			used.Idempotent = random.IntN(2) == 0
+			used.Checkpoint = random.IntN(2) == 0
+			harness.checkpointTime = time.Duration(random.IntN(3000)) * time.Millisecond
+			keys = append(keys, harness.submit(owners[random.IntN(3)], "caller", used, time.Duration(random.IntN(60))*time.Second))
+			harness.decide()
+			if random.IntN(20) == 0 {
+				harness.core.Apply(harness.now, JobCancelled{keys[random.IntN(len(keys))]})
+				harness.decide()
+			}
+			harness.advance(time.Duration(random.IntN(30)) * 100 * time.Millisecond)
+		}
+		harness.advance(time.Hour)
+		for _, key := range keys {
+			if _, ok := harness.ended[key]; !ok {
+				t.Errorf("seed %d: job %s has not ended: %v", seed, key, harness.core.Explain(key))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/dump.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Bounds of a dump.
+const (
+	dumpMembers       = 16
+	dumpOrganisations = 256
+	dumpShortfalls    = 256
+)
+
+// State is the value that Core.Dump returns.
+type State struct {
+	Revision    fleet.Revision `json:"revision"`
+	Workers     int            `json:"workers"`
+	Quarantined int            `json:"quarantined"`
+	Jobs        int            `json:"jobs"`
+	Waiting     int            `json:"waiting"`
+	Claiming    int            `json:"claiming"`
+	Evicting    int            `json:"evicting"`
+	Free        int64          `json:"free_accelerators"`
+	Open        int64          `json:"open_accelerators"`
+	Steps       uint64         `json:"steps"`
+
+	Organisations []OrganisationState `json:"organisations"`
+	Shortfalls    []Shortfall         `json:"shortfalls"`
+	Placements    []PlacementRecord   `json:"placements"`
+	Evictions     []EvictionRecord    `json:"evictions"`
+	Refusals      []RefusalRecord     `json:"refusals"`
+}
+
+// OrganisationState is one organisation in a dump.
+type OrganisationState struct {
+	ID         fleet.OrganisationID `json:"organisation"`
+	Guaranteed fleet.Accelerators   `json:"guaranteed"`
+	Held       fleet.Accelerators   `json:"held"`
+	Waiting    int                  `json:"waiting"`
+	// Service is the attained service in accelerator-seconds, decayed, as of the last change.
+	Service float64 `json:"service"`
+}
+
+// Dump returns a State, bounded in size.
+func (core *Core) Dump() any {
+	state := State{
+		Workers:     core.present,
+		Quarantined: core.quarantined,
+		Jobs:        len(core.jobs),
+		Waiting:     core.waiting,
+		Claiming:    len(core.claims),
+		Evicting:    len(core.evicting),
+		Steps:       core.steps,
+		Shortfalls:  core.shortfalls(),
+		Placements:  core.history.placements.list(),
+		Evictions:   core.history.evictions.list(),
+		Refusals:    core.history.refusals.list(),
+	}
+	if core.config != nil {
+		state.Revision = core.config.Revision
+	}
+	for _, zone := range core.zones {
+		state.Free += zone.totals[viewFree]
+		state.Open += zone.totals[viewOpen]
+	}
+	for _, owner := range core.organisations[:min(len(core.organisations), dumpOrganisations)] {
+		state.Organisations = append(state.Organisations, OrganisationState{
+			owner.id, owner.guaranteed, owner.held, owner.queue.waiting, owner.account.value,
+		})
+	}
+	state.Shortfalls = state.Shortfalls[:min(len(state.Shortfalls), dumpShortfalls)]
+	return state
+}
--- /dev/null
+++ b/pkg/scheduler/explain.go
@@ -0,0 +1,212 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Explain tells in a few lines why a job is where it is.
+func (core *Core) Explain(key fleet.JobKey) []string {
+	job, ok := core.jobs[key]
+	if !ok {
+		return []string{fmt.Sprintf("job %s is not known to this domain", key)}
+	}
+	switch job.phase {
+	case phaseRunning, phasePlacing:
+		return core.explainActive(job)
+	case phaseClaiming:
+		return core.explainClaim(job)
+	default:
+		return core.explainWaiting(job)
+	}
+}
+
+func (core *Core) explainActive(job *entry) []string {
+	state := "runs"
+	if job.phase == phasePlacing {
+		state = "is being started"
+	}
+	lines := []string{fmt.Sprintf("attempt %d %s on %d workers: %s", job.attempt, state, len(job.holdings), job.reason)}
+	switch {
+	case job.cancelled:
+		lines = append(lines, "it was cancelled and waits for its members to confirm the stop")
+	case job.eviction == evictionCheckpoint:
+		lines = append(lines, "it was asked to checkpoint, since its accelerators are reclaimed")
+	case job.eviction != evictionNone:
+		lines = append(lines, "it is being stopped, since its accelerators are reclaimed")
+	}
+	return lines
+}
+
+func (core *Core) explainClaim(job *entry) []string {
+	lines := []string{fmt.Sprintf("waits for evicted work to end: %s", job.reason)}
+	for _, victim := range core.evicting {
+		for _, holding := range job.holdings {
+			if holding.worker.membersOf(victim) > 0 {
+				lines = append(lines, fmt.Sprintf("worker %s: job %s is being evicted", holding.worker.ID, victim.job.Key))
+			}
+		}
+	}
+	return lines
+}
+
+func (core *Core) explainWaiting(job *entry) []string {
+	owner := job.organisation
+	lines := []string{fmt.Sprintf("waits for %s", job.shape())}
+	switch {
+	case core.config == nil:
+		return append(lines, "no configuration is known yet")
+	case !core.fleetKnown:
+		return append(lines, "the fleet is not known yet")
+	case !owner.quotaLeft(job.total):
+		lines = append(lines, fmt.Sprintf("quota: %d of %d accelerators are in use", owner.held, owner.config.Quota))
+	}
+	if ahead := core.ahead(job); ahead > 0 {
+		lines = append(lines, fmt.Sprintf("%d jobs of its organisation go first", ahead))
+	}
+	free, open := int64(0), int64(0)
+	for _, zone := range core.zones {
+		free += zone.totals[viewFree]
+		open += zone.totals[viewOpen]
+	}
+	switch {
+	case job.preemptible:
+		lines = append(lines, fmt.Sprintf("%d accelerators are free, but not in this shape", free))
+	default:
+		lines = append(lines, fmt.Sprintf("%d accelerators are free, %d of them outside cells; "+
+			"the job cannot be preempted, so it may not use others' cells", free, open))
+	}
+	lines = append(lines, fmt.Sprintf("its organisation has %d accelerators guaranteed and uses %d",
+		owner.guaranteed, owner.held))
+	if len(job.failedOn) > 0 {
+		lines = append(lines, fmt.Sprintf("it failed on workers %v and avoids them", job.failedOn))
+	}
+	return lines
+}
+
+// ahead counts the waiting jobs of the organisation that go before a job.
+func (core *Core) ahead(job *entry) int {
+	count := 0
+	for _, group := range job.organisation.queue.ordered {
+		if group.jobs.Len() == 0 {
+			continue
+		}
+		if group != job.group {
+			if before(group, job.group) {
+				count += group.jobs.Len()
+			}
+			continue
+		}
+		for _, other := range group.jobs {
+			if earlier(other, job) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// ExplainOrganisation tells which guarantees are used, lent or short.
+func (core *Core) ExplainOrganisation(id fleet.OrganisationID) []string {
+	owner, ok := core.byID[id]
+	if !ok || owner.config == nil {
+		return []string{fmt.Sprintf("organisation %s is not configured", id)}
+	}
+	var cells, used, lent, free int64
+	for _, machine := range owner.cellWorkers {
+		share := machine.share(owner.tenant)
+		room := machine.ownRoom(owner.tenant)
+		idle := room.atMost(machine.free.positive())
+		cells += share.cell[0]
+		used += min(share.used[0], share.cell[0])
+		free += idle[0]
+		lent += room[0] - idle[0]
+	}
+	lines := []string{
+		fmt.Sprintf("%d accelerators are guaranteed, %d of them are bound to cells", owner.guaranteed, cells),
+		fmt.Sprintf("in cells: %d in use by the organisation, %d lent to others, %d free", used, lent, free),
+		fmt.Sprintf("in use in all: %d; waiting jobs: %d", owner.held, owner.queue.waiting),
+	}
+	for _, shortfall := range core.shortfalls() {
+		if shortfall.Organisation == id {
+			lines = append(lines, fmt.Sprintf("short: %d of %s find no place on the fleet", shortfall.Count, shortfall.Shape))
+		}
+	}
+	return lines
+}
+
+// history holds the last decisions of each kind with their reasons.
+type history struct {
+	placements ring[PlacementRecord]
+	evictions  ring[EvictionRecord]
+	refusals   ring[RefusalRecord]
+}
+
+// PlacementRecord is a placement in a dump.
+type PlacementRecord struct {
+	At      time.Time     `json:"at"`
+	Key     fleet.JobKey  `json:"job"`
+	Attempt fleet.Attempt `json:"attempt"`
+	Members []Member      `json:"members"`
+	Reason  string        `json:"reason"`
+}
+
+// EvictionRecord is an eviction in a dump.
+type EvictionRecord struct {
+	At      time.Time     `json:"at"`
+	Key     fleet.JobKey  `json:"job"`
+	Attempt fleet.Attempt `json:"attempt"`
+	Reason  string        `json:"reason"`
+}
+
+// RefusalRecord is a job that ended without having run, in a dump.
+type RefusalRecord struct {
+	Key    fleet.JobKey `json:"job"`
+	Reason string       `json:"reason"`
+}
+
+func newHistory(size int) history {
+	return history{ring[PlacementRecord]{size: size}, ring[EvictionRecord]{size: size}, ring[RefusalRecord]{size: size}}
+}
+
+func (history *history) placed(job *entry, now time.Time, reason string) {
+	job.reason = reason
+	members := job.members()
+	if len(members) > dumpMembers {
+		members = members[:dumpMembers]
+	}
+	history.placements.add(PlacementRecord{now, job.job.Key, job.attempt, members, reason})
+}
+
+func (history *history) evicted(job *entry, now time.Time, reason string) {
+	history.evictions.add(EvictionRecord{now, job.job.Key, job.attempt, reason})
+}
+
+func (history *history) refused(key fleet.JobKey, reason string) {
+	history.refusals.add(RefusalRecord{key, reason})
+}
+
+// ring holds the last values that were added.
+type ring[T any] struct {
+	size   int
+	next   int
+	values []T
+}
+
+func (ring *ring[T]) add(value T) {
+	if len(ring.values) < ring.size {
+		ring.values = append(ring.values, value)
+		return
+	}
+	ring.values[ring.next] = value
+	ring.next = (ring.next + 1) % ring.size
+}
+
+// list returns the values, oldest first.
+func (ring *ring[T]) list() []T {
+	listed := make([]T, 0, len(ring.values))
+	listed = append(listed, ring.values[ring.next:]...)
+	return append(listed, ring.values[:ring.next]...)
+}
--- /dev/null
+++ b/pkg/scheduler/reclaim.go
@@ -0,0 +1,405 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Costs of evicting a gang, as time lost by each of its accelerators.
+const (
+	// checkpointCost is the time to save and to resume.
+	checkpointCost = 5 * time.Second
+	// abandonedCost is the penalty for a gang that must not run twice, since a missed checkpoint ends it.
+	abandonedCost = 10 * time.Minute
+)
+
+// loss estimates the accelerator time that evicting a gang loses.
+func (core *Core) loss(now time.Time, job *entry) float64 {
+	perAccelerator := now.Sub(job.began)
+	if job.job.Profile.Checkpoint {
+		perAccelerator = checkpointCost
+		if !job.job.Profile.Idempotent {
+			perAccelerator += abandonedCost
+		}
+	}
+	return (perAccelerator + time.Second).Seconds() * float64(job.total)
+}
+
+// displaceable reports whether a claim of a job in its own cells may evict a gang of its organisation.
+func (entry *entry) displaceable(gang *entry) bool {
+	return entry.urgent() && gang.preemptible && gang.organisation == entry.organisation &&
+		gang.job.Profile.Urgency < entry.job.Profile.Urgency
+}
+
+// reclaimRoom returns what a job can have on a worker in its organisation's cells by evicting.
+func (entry *entry) reclaimRoom(machine *worker) resources {
+	own := machine.share(entry.organisation.tenant)
+	used := own.used
+	if entry.urgent() {
+		for _, gang := range machine.gangs {
+			if entry.displaceable(gang) && gang.eviction == evictionNone {
+				used = used.minus(gang.unit.times(machine.membersOf(gang)))
+			}
+		}
+	}
+	return own.cell.minus(used).positive()
+}
+
+// excess tracks by how much each tenant exceeds its cells on one worker while victims are chosen.
+type excess map[int]resources
+
+func excessOf(machine *worker) excess {
+	result := excess{}
+	for _, share := range machine.shares {
+		result[share.tenant] = share.used.minus(share.cell)
+	}
+	return result
+}
+
+// victimsOn lists the gangs on a worker that a job's claim may evict, cheapest first.
+func (core *Core) victimsOn(now time.Time, job *entry, machine *worker) []*entry {
+	over := excessOf(machine)
+	var victims []*entry
+	for _, gang := range machine.gangs {
+		core.steps++
+		if !gang.preemptible || gang.eviction != evictionNone || gang.cancelled {
+			continue
+		}
+		foreign := gang.organisation != job.organisation && over[gang.organisation.tenant][0] > 0
+		if foreign || job.displaceable(gang) {
+			victims = append(victims, gang)
+		}
+	}
+	slices.SortStableFunc(victims, func(left, right *entry) int {
+		return cmp.Compare(core.loss(now, left)/float64(left.total), core.loss(now, right)/float64(right.total))
+	})
+	return victims
+}
+
+// available returns what is free or about to become free on a worker.
+func (worker *worker) available() resources { return worker.free.plus(worker.ending) }
+
+// reclaimCandidates lists the workers with own cells that could hold members after evictions.
+func (core *Core) reclaimCandidates(now time.Time, job *entry) []candidate {
+	var candidates []candidate
+	for _, machine := range job.organisation.cellWorkers {
+		core.steps++
+		if !machine.usable() || job.avoids(machine) {
+			continue
+		}
+		slots := job.reclaimRoom(machine).quotient(job.unit)
+		if slots == 0 {
+			continue
+		}
+		slots, cost := core.reclaimCost(now, job, machine, slots)
+		if slots > 0 {
+			candidates = append(candidates, candidate{machine, slots, cost})
+		}
+	}
+	return candidates
+}
+
+// reclaimCost returns how many of the members the victims on a worker make room for, and the loss for each.
+func (core *Core) reclaimCost(now time.Time, job *entry, machine *worker, members int) (int, float64) {
+	room := machine.available()
+	if room.covers(job.unit.times(members)) {
+		return members, 0
+	}
+	cost := 0.0
+	for _, victim := range core.victimsOn(now, job, machine) {
+		cost += core.loss(now, victim)
+		room = room.plus(victim.unit.times(machine.membersOf(victim)))
+		if room.covers(job.unit.times(members)) {
+			return members, cost / float64(members)
+		}
+	}
+	fit := min(room.quotient(job.unit), members)
+	return fit, cost / float64(max(fit, 1))
+}
+
+// reclaim claims accelerators in the job's own cells and evicts the work that is in the way.
+func (core *Core) reclaim(now time.Time, job *entry) bool {
+	holdings := core.assemble(job.shape(), core.reclaimCandidates(now, job))
+	if holdings == nil {
+		return false
+	}
+	victims, enough := core.chooseVictims(now, job, holdings)
+	if !enough {
+		return false
+	}
+	core.claim(now, job, holdings, victims, "reclaims the guarantee of "+string(job.organisation.id))
+	return true
+}
+
+// chooseVictims picks the gangs to evict so that a claim fits: the least loss for each accelerator that is
+// needed and freed goes first. It reports whether they suffice.
+func (core *Core) chooseVictims(now time.Time, job *entry, holdings []holding) ([]*entry, bool) {
+	missing := map[*worker]resources{}
+	over := map[*worker]excess{}
+	var candidates []*entry
+	for _, holding := range holdings {
+		machine := holding.worker
+		need := job.unit.times(holding.members).minus(machine.available())
+		if need.positive() == (resources{}) {
+			continue
+		}
+		missing[machine] = need
+		over[machine] = excessOf(machine)
+		for _, victim := range core.victimsOn(now, job, machine) {
+			if !slices.Contains(candidates, victim) {
+				candidates = append(candidates, victim)
+			}
+		}
+	}
+	var victims []*entry
+	for len(missing) > 0 {
+		at := core.bestVictim(now, job, candidates, missing, over)
+		if at < 0 {
+			return nil, false
+		}
+		victim := candidates[at]
+		candidates = slices.Delete(candidates, at, at+1)
+		victims = append(victims, victim)
+		for _, held := range victim.holdings {
+			freed := victim.unit.times(held.members)
+			if tenants, ok := over[held.worker]; ok {
+				tenants[victim.organisation.tenant] = tenants[victim.organisation.tenant].minus(freed)
+			}
+			if need, ok := missing[held.worker]; ok {
+				need = need.minus(freed)
+				missing[held.worker] = need
+				if need.positive() == (resources{}) {
+					delete(missing, held.worker)
+				}
+			}
+		}
+	}
+	return dropNeedless(job, holdings, victims), true
+}
+
+// bestVictim returns the index of the candidate with the least loss for each useful accelerator; -1 if
+// none is useful.
+func (core *Core) bestVictim(
+	now time.Time, job *entry, candidates []*entry, missing map[*worker]resources, over map[*worker]excess,
+) int {
+	best, bestScore := -1, 0.0
+	for i, candidate := range candidates {
+		core.steps++
+		useful := int64(0)
+		for _, held := range candidate.holdings {
+			need, ok := missing[held.worker]
+			if !ok {
+				continue
+			}
+			own := candidate.organisation == job.organisation
+			if !own && over[held.worker][candidate.organisation.tenant][0] <= 0 {
+				continue
+			}
+			useful += min(max(need[0], 1), candidate.unit.times(held.members)[0])
+		}
+		if useful == 0 {
+			continue
+		}
+		score := core.loss(now, candidate) / float64(useful)
+		if best < 0 || score < bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// dropNeedless spares the victims without which the claim fits as well, the dearest choices first.
+func dropNeedless(job *entry, holdings []holding, victims []*entry) []*entry {
+	spared := map[*worker]resources{}
+	for _, holding := range holdings {
+		spared[holding.worker] = holding.worker.available().minus(job.unit.times(holding.members))
+	}
+	for _, victim := range victims {
+		for _, held := range victim.holdings {
+			if left, ok := spared[held.worker]; ok {
+				spared[held.worker] = left.plus(victim.unit.times(held.members))
+			}
+		}
+	}
+	for i := len(victims) - 1; i >= 0; i-- {
+		needed := false
+		for _, held := range victims[i].holdings {
+			left, ok := spared[held.worker]
+			needed = needed || ok && !left.covers(victims[i].unit.times(held.members))
+		}
+		if needed {
+			continue
+		}
+		for _, held := range victims[i].holdings {
+			if left, ok := spared[held.worker]; ok {
+				spared[held.worker] = left.minus(victims[i].unit.times(held.members))
+			}
+		}
+		victims = slices.Delete(victims, i, i+1)
+	}
+	return victims
+}
+
+// claim accounts holdings to a waiting job and evicts victims. The job starts when they have ended.
+func (core *Core) claim(now time.Time, job *entry, holdings []holding, victims []*entry, reason string) {
+	core.dequeue(job)
+	job.phase = phaseClaiming
+	job.reason = reason
+	core.take(job, holdings, true)
+	core.claims = append(core.claims, job)
+	for _, victim := range victims {
+		core.evict(now, victim, job.hurried && job.urgent(), fmt.Sprintf("%s for job %s", reason, job.job.Key))
+	}
+}
+
+// dropClaim gives a claim up.
+func (core *Core) dropClaim(job *entry) {
+	core.release(job)
+	job.phase = phaseWaiting
+	core.claims = slices.DeleteFunc(core.claims, func(other *entry) bool { return other == job })
+}
+
+// settleClaims starts the jobs whose claimed accelerators are free and gives up claims that cannot be met.
+func (core *Core) settleClaims(now time.Time) {
+	for i := len(core.claims) - 1; i >= 0; i-- {
+		job := core.claims[i]
+		if core.claimHolds(job) {
+			continue
+		}
+		core.dropClaim(job)
+		core.enqueue(now, job)
+	}
+	pending := core.claims[:0]
+	for _, job := range core.claims {
+		if !core.claimReady(job) {
+			pending = append(pending, job)
+			continue
+		}
+		core.confirm(job)
+		core.place(now, job, job.reason)
+	}
+	clear(core.claims[len(pending):])
+	core.claims = pending
+}
+
+// claimHolds reports whether a claim can still be met.
+func (core *Core) claimHolds(job *entry) bool {
+	for _, holding := range job.holdings {
+		core.steps++
+		machine := holding.worker
+		if !machine.usable() || machine.available()[0] < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// claimReady reports whether all claimed accelerators are free.
+func (core *Core) claimReady(job *entry) bool {
+	for _, holding := range job.holdings {
+		machine := holding.worker
+		if !machine.free.plus(machine.claimed).covers(job.unit.times(holding.members)) {
+			return false
+		}
+	}
+	return true
+}
+
+// evict takes a gang's accelerators back, by a checkpoint if the gang can make one.
+func (core *Core) evict(now time.Time, job *entry, hurried bool, reason string) {
+	if hurried || !job.job.Profile.Checkpoint {
+		core.stopFor(now, job, reason)
+		return
+	}
+	core.startEviction(now, job, evictionCheckpoint)
+	core.decide(Evict{job.job.Key, job.attempt, EvictCheckpoint, reason})
+	core.history.evicted(job, now, reason)
+}
+
+// stop ends a gang at once.
+func (core *Core) stop(now time.Time, job *entry, reason string) {
+	if job.eviction < evictionStop {
+		core.stopFor(now, job, reason)
+	}
+}
+
+func (core *Core) stopFor(now time.Time, job *entry, reason string) {
+	core.startEviction(now, job, evictionStop)
+	core.decide(Evict{job.job.Key, job.attempt, EvictStop, reason})
+	core.history.evicted(job, now, reason)
+}
+
+// startEviction accounts what an eviction is going to free.
+func (core *Core) startEviction(now time.Time, job *entry, step eviction) {
+	if job.eviction == evictionNone {
+		for _, holding := range job.holdings {
+			holding.worker.ending = holding.worker.ending.plus(job.unit.times(holding.members))
+		}
+		core.evicting = append(core.evicting, job)
+	}
+	job.eviction = step
+	job.evictionAt = now
+}
+
+// settleEviction ends the accounting of an eviction.
+func (core *Core) settleEviction(job *entry) {
+	if job.eviction == evictionNone {
+		return
+	}
+	if job.eviction != evictionStuck {
+		core.endEnding(job)
+	}
+	job.eviction = evictionNone
+	core.evicting = slices.DeleteFunc(core.evicting, func(other *entry) bool { return other == job })
+}
+
+func (core *Core) endEnding(job *entry) {
+	for _, holding := range job.holdings {
+		holding.worker.ending = holding.worker.ending.minus(job.unit.times(holding.members))
+	}
+}
+
+// escalation returns when the next step of an eviction is due.
+func (core *Core) escalation(job *entry) (time.Time, bool) {
+	switch job.eviction {
+	case evictionCheckpoint:
+		return job.evictionAt.Add(core.settings.CheckpointGrace), true
+	case evictionStop:
+		return job.evictionAt.Add(core.settings.StopConfirmation), true
+	default:
+		return time.Time{}, false
+	}
+}
+
+// escalate stops gangs whose grace period is over and gives up those that ignore the stop.
+func (core *Core) escalate(now time.Time) {
+	for _, job := range core.evicting {
+		at, ok := core.escalation(job)
+		if !ok || at.After(now) {
+			continue
+		}
+		job.evictionAt = now
+		if job.eviction == evictionCheckpoint {
+			job.eviction = evictionStop
+			core.decide(Evict{job.job.Key, job.attempt, EvictStop, "the grace period for the checkpoint is over"})
+			continue
+		}
+		core.endEnding(job)
+		job.eviction = evictionStuck
+		core.hurry(job)
+		core.freed()
+	}
+}
+
+// hurry marks the claims that wait for a gang that ignores its stop. Their next victims get no grace period.
+func (core *Core) hurry(stuck *entry) {
+	for _, claim := range core.claims {
+		for _, holding := range claim.holdings {
+			if holding.worker.membersOf(stuck) > 0 {
+				claim.hurried = true
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/schedule.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import "time"
+
+// schedule places waiting jobs: first within guarantees, then on whatever is free.
+func (core *Core) schedule(now time.Time) {
+	if core.waiting == 0 {
+		return
+	}
+	core.prioritise(now)
+	core.pass(now, core.tryGuarantee, false)
+	core.pass(now, core.tryFree, true)
+}
+
+// prioritise computes the order of organisations and callers for one decision.
+func (core *Core) prioritise(now time.Time) {
+	for _, owner := range core.organisations {
+		if owner.queue.waiting == 0 {
+			continue
+		}
+		owner.queue.sweep()
+		owner.priority = core.normalised(now, owner)
+		for _, group := range owner.queue.ordered {
+			group.caller.priority = core.service(now, &group.caller.account)
+		}
+	}
+}
+
+// turn is what is left to try for one organisation in one pass.
+type turn struct {
+	owner  *organisation
+	groups []*group
+}
+
+// pass tries the first job of every group, least attained service first, until no class finds a place.
+func (core *Core) pass(now time.Time, try func(time.Time, *entry) bool, last bool) {
+	var turns []*turn
+	for _, owner := range core.organisations {
+		if groups := core.hopeful(owner); len(groups) > 0 {
+			turns = append(turns, &turn{owner, groups})
+		}
+	}
+	for len(turns) > 0 {
+		at := 0
+		for i, turn := range turns {
+			if turn.owner.priority < turns[at].owner.priority {
+				at = i
+			}
+		}
+		if !core.tryTurn(now, turns[at], try, last) {
+			turns = append(turns[:at], turns[at+1:]...)
+		}
+	}
+}
+
+// hopeful lists the groups whose class may find a place since it last failed.
+func (core *Core) hopeful(owner *organisation) []*group {
+	var groups []*group
+	for _, group := range owner.queue.ordered {
+		core.steps++
+		if version, failed := owner.failed[group.key.class]; failed && version == core.version {
+			continue
+		}
+		if group.jobs.Len() > 0 {
+			groups = append(groups, group)
+		}
+	}
+	return groups
+}
+
+// tryTurn tries one job of an organisation and reports whether there are others to try.
+func (core *Core) tryTurn(now time.Time, turn *turn, try func(time.Time, *entry) bool, last bool) bool {
+	at := 0
+	for i, group := range turn.groups {
+		core.steps++
+		if before(group, turn.groups[at]) {
+			at = i
+		}
+	}
+	home := turn.groups[at]
+	job := home.head()
+	if turn.owner.quotaLeft(job.total) && try(now, job) {
+		turn.owner.priority = core.normalised(now, turn.owner)
+		job.caller.priority = core.service(now, &job.caller.account)
+		if home.jobs.Len() == 0 {
+			turn.groups = append(turn.groups[:at], turn.groups[at+1:]...)
+		}
+		return len(turn.groups) > 0
+	}
+	kept := turn.groups[:0]
+	for _, group := range turn.groups {
+		if group.key.class != home.key.class {
+			kept = append(kept, group)
+		}
+	}
+	turn.groups = kept
+	if last {
+		turn.owner.failed[home.key.class] = core.version
+	}
+	return len(turn.groups) > 0
+}
+
+// tryGuarantee places a job that its organisation's cells can hold, by reclaim if need be.
+func (core *Core) tryGuarantee(now time.Time, job *entry) bool {
+	if len(job.organisation.cellWorkers) == 0 {
+		return false
+	}
+	if holdings := core.findOwn(job); holdings != nil {
+		return core.start(now, job, holdings, "free cells of its organisation")
+	}
+	if core.assemble(job.shape(), core.reclaimCandidates(now, job)) == nil {
+		return false
+	}
+	if holdings := core.findOpen(job); holdings != nil {
+		return core.start(now, job, holdings, "free accelerators outside cells")
+	}
+	return core.reclaim(now, job)
+}
+
+// tryFree places a job on accelerators that are free, in cells of others only if it is preemptible.
+func (core *Core) tryFree(now time.Time, job *entry) bool {
+	if holdings := core.findOpen(job); holdings != nil {
+		return core.start(now, job, holdings, "free accelerators outside cells")
+	}
+	if holdings := core.findAny(job); holdings != nil {
+		return core.start(now, job, holdings, "free accelerators, with borrowing")
+	}
+	return false
+}
+
+// start places a waiting job on free accelerators.
+func (core *Core) start(now time.Time, job *entry, holdings []holding, reason string) bool {
+	core.dequeue(job)
+	core.take(job, holdings, false)
+	core.place(now, job, reason)
+	return true
+}
--- /dev/null
+++ b/pkg/scheduler/settings.go
@@ -0,0 +1,85 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Settings are the parameters of a Core. Zero fields take the values of DefaultSettings.
+type Settings struct {
+	// CheckpointGrace is the time between the request to checkpoint and the stop.
+	CheckpointGrace time.Duration `json:"checkpoint_grace"`
+	// StopConfirmation is the time after which a worker that ignores a stop is given up as a source.
+	StopConfirmation time.Duration `json:"stop_confirmation"`
+	// ServiceHalfLife is the time in which the attained service of an organisation or caller halves.
+	ServiceHalfLife time.Duration `json:"service_half_life"`
+	// FairnessQuantum is charged for each accelerator in use when organisations and callers are ordered.
+	FairnessQuantum time.Duration `json:"fairness_quantum"`
+	// Levels are the bounds of a job's attained service between the levels of its priority, ascending.
+	Levels []fleet.AcceleratorTime `json:"levels"`
+	// FailuresOfJob is the number of different workers on which a job fails before it ends as failed.
+	FailuresOfJob int `json:"failures_of_job"`
+	// FailuresOfWorker is the number of different jobs that fail on a worker, without a success
+	// between them, before it is quarantined.
+	FailuresOfWorker int `json:"failures_of_worker"`
+	// QuarantineTime is the length of a first quarantine; each further one is twice as long.
+	QuarantineTime time.Duration `json:"quarantine_time"`
+	// QuarantineShare is the largest share of the fleet in quarantine.
+	QuarantineShare float64 `json:"quarantine_share"`
+	// MaxWaiting bounds the waiting jobs of an organisation that states no bound.
+	MaxWaiting int `json:"max_waiting"`
+	// RetryAfter is what a caller is told when a queue is full.
+	RetryAfter time.Duration `json:"retry_after"`
+	// History is the number of placements, reclaims and refusals that Dump holds, each.
+	History int `json:"history"`
+}
+
+// DefaultSettings returns the values for fields that are left zero.
+func DefaultSettings() Settings {
+	return Settings{
+		CheckpointGrace:  2 * time.Second,
+		StopConfirmation: time.Second,
+		ServiceHalfLife:  30 * time.Minute,
+		FairnessQuantum:  time.Minute,
+		Levels: []fleet.AcceleratorTime{
+			fleet.AcceleratorTime(10 * time.Minute),
+			fleet.AcceleratorTime(2 * time.Hour),
+			fleet.AcceleratorTime(24 * time.Hour),
+		},
+		FailuresOfJob:    3,
+		FailuresOfWorker: 3,
+		QuarantineTime:   5 * time.Minute,
+		QuarantineShare:  0.1,
+		MaxWaiting:       200_000,
+		RetryAfter:       5 * time.Second,
+		History:          64,
+	}
+}
+
+// withDefaults replaces zero fields by their defaults.
+func (settings Settings) withDefaults() Settings {
+	defaults := DefaultSettings()
+	setDefault(&settings.CheckpointGrace, defaults.CheckpointGrace)
+	setDefault(&settings.StopConfirmation, defaults.StopConfirmation)
+	setDefault(&settings.ServiceHalfLife, defaults.ServiceHalfLife)
+	setDefault(&settings.FairnessQuantum, defaults.FairnessQuantum)
+	setDefault(&settings.FailuresOfJob, defaults.FailuresOfJob)
+	setDefault(&settings.FailuresOfWorker, defaults.FailuresOfWorker)
+	setDefault(&settings.QuarantineTime, defaults.QuarantineTime)
+	setDefault(&settings.QuarantineShare, defaults.QuarantineShare)
+	setDefault(&settings.MaxWaiting, defaults.MaxWaiting)
+	setDefault(&settings.RetryAfter, defaults.RetryAfter)
+	setDefault(&settings.History, defaults.History)
+	if settings.Levels == nil {
+		settings.Levels = defaults.Levels
+	}
+	return settings
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
