Add communication with workers

Cause: an owner needs health, clocks, lease tables and renewals of each worker, and gangs that are reserved whole before any member starts.

Starts are not sent after the gang's own deadline.

Conclusion: the owner of a domain can start, watch and stop gangs.

--- /dev/null
+++ b/internal/worker/client.go
@@ -0,0 +1,97 @@
+// Package worker speaks to workers: leases, gangs of tasks, and what the workers report of them.
+package worker
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1/workerv1connect"
+)
+
+// Client sends commands to one worker. An error means that the effect of the command is not known.
+type Client interface {
+	Reserve(ctx context.Context, request *workerv1.ReserveRequest) (*workerv1.ReserveResponse, error)
+	Start(ctx context.Context, request *workerv1.StartRequest) (*workerv1.CommandResponse, error)
+	Release(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error)
+	Stop(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error)
+	Checkpoint(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error)
+	Throttle(ctx context.Context, request *workerv1.ThrottleRequest) (*workerv1.CommandResponse, error)
+	Sync(ctx context.Context, request *workerv1.SyncRequest) (*workerv1.SyncResponse, error)
+}
+
+// maxResponse bounds the size of one response in bytes.
+const maxResponse = 4 << 20
+
+// Silent connections are found by pings: one after idleBeforePing without a frame, lost after pingTimeout.
+const (
+	idleBeforePing = time.Second
+	pingTimeout    = 2 * time.Second
+	dialTimeout    = time.Second
+	idleClose      = 90 * time.Second
+)
+
+// NewHTTPClient returns a client that speaks HTTP/2 with pings, without TLS when settings is nil.
+func NewHTTPClient(settings *tls.Config) *http.Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(settings != nil)
+	protocols.SetUnencryptedHTTP2(settings == nil)
+	return &http.Client{Transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig: settings,
+		Protocols:       protocols,
+		IdleConnTimeout: idleClose,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout},
+	}}
+}
+
+// NewClient returns a Client for the worker at a base URL.
+func NewClient(client connect.HTTPClient, baseURL string) Client {
+	return remote{workerv1connect.NewWorkerServiceClient(client, baseURL, connect.WithReadMaxBytes(maxResponse))}
+}
+
+// remote adapts the generated client.
+type remote struct {
+	service workerv1connect.WorkerServiceClient
+}
+
+func send[Q, A any](ctx context.Context, request *Q, call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*A, error) {
+	response, err := call(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func (remote remote) Reserve(ctx context.Context, request *workerv1.ReserveRequest) (*workerv1.ReserveResponse, error) {
+	return send(ctx, request, remote.service.Reserve)
+}
+
+func (remote remote) Start(ctx context.Context, request *workerv1.StartRequest) (*workerv1.CommandResponse, error) {
+	return send(ctx, request, remote.service.Start)
+}
+
+func (remote remote) Release(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
+	return send(ctx, request, remote.service.Release)
+}
+
+func (remote remote) Stop(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
+	return send(ctx, request, remote.service.Stop)
+}
+
+func (remote remote) Checkpoint(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
+	return send(ctx, request, remote.service.Checkpoint)
+}
+
+func (remote remote) Throttle(ctx context.Context, request *workerv1.ThrottleRequest) (*workerv1.CommandResponse, error) {
+	return send(ctx, request, remote.service.Throttle)
+}
+
+func (remote remote) Sync(ctx context.Context, request *workerv1.SyncRequest) (*workerv1.SyncResponse, error) {
+	return send(ctx, request, remote.service.Sync)
+}
--- /dev/null
+++ b/internal/worker/gang.go
@@ -0,0 +1,313 @@
+package worker
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Errors of a command that was not sent.
+var (
+	errNoWorker = errors.New("worker is not listed")
+	errNoClock  = errors.New("worker's clock is not known")
+)
+
+// refusalNoLease is the refusal of a worker that knows no active lease of that id.
+const refusalNoLease = "no_lease"
+
+// Member is one task of a gang with its lease.
+type Member struct {
+	Worker       fleet.WorkerID
+	Lease        fleet.LeaseID
+	Accelerators fleet.Accelerators
+}
+
+// Gang is one attempt of a job.
+type Gang struct {
+	Key            fleet.JobKey
+	Attempt        fleet.Attempt
+	Profile        fleet.ProfileName
+	Shape          fleet.Shape
+	ConfigRevision fleet.Revision
+	// Unrecorded marks an attempt that has no record in the store.
+	Unrecorded bool
+	Resume     bool
+	Input      []byte
+	Members    []Member
+	// NoStartAfter is the last moment at which a Start may be sent.
+	NoStartAfter time.Time
+}
+
+// StartResult tells what became of a start.
+type StartResult struct {
+	// Started is true when every member has acknowledged its start.
+	Started bool
+	// Begun is true when a member may have run.
+	Begun bool
+	// Busy names the workers that did not grant a reservation.
+	Busy []fleet.WorkerID
+	// Failed names the workers that did not acknowledge a start.
+	Failed []fleet.WorkerID
+}
+
+// StartGang reserves all members concurrently and then starts all. When a reservation fails, the others are
+// released and nothing has run. When a start fails, the caller stops the gang.
+func (manager *Manager) StartGang(ctx context.Context, gang Gang) StartResult {
+	if busy := manager.reserveAll(ctx, gang); len(busy) > 0 {
+		manager.releaseAll(ctx, gang.Members)
+		manager.count("worker_gangs_refused", 1)
+		return StartResult{Busy: busy}
+	}
+	if !time.Now().Before(gang.NoStartAfter) || ctx.Err() != nil {
+		manager.releaseAll(ctx, gang.Members)
+		manager.count("worker_gangs_late", 1)
+		return StartResult{}
+	}
+	result := manager.startAll(ctx, gang)
+	if !result.Started {
+		manager.count("worker_gangs_incomplete", 1)
+		return result
+	}
+	for _, member := range gang.Members {
+		manager.Keep(member.Worker, member.Lease, time.Now().Add(manager.Timing.StartEnd()))
+	}
+	manager.count("worker_gangs_started", 1)
+	return result
+}
+
+// forEach runs work for each member concurrently and returns the workers for which it reported false.
+func forEach(members []Member, work func(index int, member Member) bool) []fleet.WorkerID {
+	var group sync.WaitGroup
+	failed := make([]bool, len(members))
+	for i, member := range members {
+		group.Go(func() { failed[i] = !work(i, member) })
+	}
+	group.Wait()
+	var workers []fleet.WorkerID
+	for i, member := range members {
+		if failed[i] {
+			workers = append(workers, member.Worker)
+		}
+	}
+	return workers
+}
+
+func (manager *Manager) reserveAll(ctx context.Context, gang Gang) []fleet.WorkerID {
+	return forEach(gang.Members, func(index int, member Member) bool {
+		granted, err := manager.reserve(ctx, gang, index)
+		if err != nil {
+			manager.Logger.Debug("reserve failed", "worker", member.Worker, "job", gang.Key.Job,
+				"organisation", gang.Key.Organisation, "attempt", gang.Attempt, "error", err)
+		}
+		return granted
+	})
+}
+
+func (manager *Manager) reserve(ctx context.Context, gang Gang, index int) (bool, error) {
+	member := gang.Members[index]
+	now := time.Now()
+	request := &workerv1.ReserveRequest{
+		LeaseId:      string(member.Lease),
+		Accelerators: int32(member.Accelerators),
+		Cores:        int32(gang.Shape.Cores),
+		MemoryBytes:  int64(gang.Shape.Memory),
+		TtlMs:        manager.Timing.Reservation.Milliseconds(),
+		Label: &workerv1.LeaseLabel{
+			Organisation:   string(gang.Key.Organisation),
+			JobId:          string(gang.Key.Job),
+			Profile:        string(gang.Profile),
+			Attempt:        int32(gang.Attempt),
+			GangMembers:    int32(len(gang.Members)),
+			Member:         int32(index),
+			ConfigRevision: int64(gang.ConfigRevision),
+			Unrecorded:     gang.Unrecorded,
+			Owner:          manager.Owner,
+		},
+	}
+	// The hold exists before the lease does, so that a stop knows when the lease must have ended.
+	manager.Watch(member.Worker, member.Lease, now.Add(manager.Timing.CommandExpiry+manager.Timing.Reservation+manager.Timing.Margin))
+	granted := false
+	err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+		request.ExpiresWorkerMs = expires
+		response, err := client.Reserve(ctx, request)
+		granted = err == nil && response.Granted
+		return response.GetWorkerMs(), err
+	})
+	return granted, err
+}
+
+func (manager *Manager) startAll(ctx context.Context, gang Gang) StartResult {
+	var mutex sync.Mutex
+	begun := false
+	failed := forEach(gang.Members, func(_ int, member Member) bool {
+		acknowledged, possible := manager.start(ctx, gang, member)
+		mutex.Lock()
+		defer mutex.Unlock()
+		begun = begun || possible
+		return acknowledged
+	})
+	return StartResult{Started: len(failed) == 0, Begun: begun, Failed: failed}
+}
+
+// start reports whether the start was acknowledged, and whether the task may run or have run.
+func (manager *Manager) start(ctx context.Context, gang Gang, member Member) (acknowledged, possible bool) {
+	request := &workerv1.StartRequest{
+		LeaseId: string(member.Lease),
+		TtlMs:   manager.Timing.Probation.Milliseconds(),
+		Input:   gang.Input,
+		Resume:  gang.Resume,
+	}
+	manager.Watch(member.Worker, member.Lease, time.Now().Add(manager.Timing.StartEnd()))
+	err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+		if !time.Now().Before(gang.NoStartAfter) {
+			return 0, nil
+		}
+		possible = true
+		request.ExpiresWorkerMs = expires
+		response, err := client.Start(ctx, request)
+		acknowledged = err == nil && response.Done
+		if err == nil && !response.Done {
+			possible = false
+		}
+		return response.GetWorkerMs(), err
+	})
+	if err != nil {
+		manager.Logger.Warn("start failed", "worker", member.Worker, "job", gang.Key.Job,
+			"organisation", gang.Key.Organisation, "attempt", gang.Attempt, "error", err)
+	}
+	return acknowledged, possible
+}
+
+// send runs one command with an expiry in the worker's clock. The call ends when the command has expired.
+func (manager *Manager) send(ctx context.Context, worker fleet.WorkerID, command func(context.Context, Client, int64) (int64, error)) error {
+	found, ok := manager.link(worker)
+	if !ok {
+		return errNoWorker
+	}
+	expires, ok := found.expiry()
+	if !ok {
+		return errNoClock
+	}
+	ctx, cancel := context.WithTimeout(ctx, manager.Timing.CommandExpiry)
+	defer cancel()
+	workerMS, err := command(ctx, found.client, expires)
+	if err != nil {
+		return errors.Wrapf(err, "worker %s", worker)
+	}
+	if workerMS != 0 {
+		found.read(workerMS)
+	}
+	return nil
+}
+
+// releaseAll gives reservations back without waiting for the outcome; those it does not reach run out.
+func (manager *Manager) releaseAll(ctx context.Context, members []Member) {
+	forEach(members, func(_ int, member Member) bool {
+		err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+			response, err := client.Release(ctx, &workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
+			return response.GetWorkerMs(), err
+		})
+		return err == nil
+	})
+}
+
+// Checkpoint asks every member to save its progress and end. Members that do not answer are left to a later stop.
+func (manager *Manager) Checkpoint(ctx context.Context, members []Member, grace time.Duration) {
+	forEach(members, func(_ int, member Member) bool {
+		err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+			response, err := client.Checkpoint(ctx, &workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
+			return response.GetWorkerMs(), err
+		})
+		manager.Hurry(member.Worker, time.Now().Add(grace))
+		return err == nil
+	})
+}
+
+// Throttle sets the share of processor time of every member, in percent. It is not repeated when it fails.
+func (manager *Manager) Throttle(ctx context.Context, members []Member, percent int) {
+	forEach(members, func(_ int, member Member) bool {
+		err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+			request := &workerv1.ThrottleRequest{LeaseId: string(member.Lease), Percent: int32(percent), ExpiresWorkerMs: expires}
+			response, err := client.Throttle(ctx, request)
+			return response.GetWorkerMs(), err
+		})
+		return err == nil
+	})
+}
+
+// StopGang stops every member and returns how each ended, once each is confirmed to have ended: by the worker,
+// or because its lease must have ended. UNSPECIFIED is an end that the worker did not report. The error is that
+// of ctx.
+func (manager *Manager) StopGang(ctx context.Context, members []Member) ([]workerv1.TaskState, error) {
+	ends := make([]workerv1.TaskState, len(members))
+	forEach(members, func(index int, member Member) bool {
+		ends[index] = manager.stop(ctx, member)
+		return true
+	})
+	return ends, ctx.Err()
+}
+
+func (manager *Manager) stop(ctx context.Context, member Member) workerv1.TaskState {
+	endsBy, ok := manager.EndsBy(member.Worker, member.Lease)
+	if !ok {
+		endsBy = time.Now().Add(manager.Timing.LeaseEnd())
+	}
+	// No renewal may extend the lease from here on.
+	manager.Watch(member.Worker, member.Lease, endsBy)
+	for ctx.Err() == nil {
+		if lease, ok := manager.Lease(member.Worker, member.Lease); ok && !lease.Active() {
+			return lease.State
+		}
+		if endsBy, _ := manager.EndsBy(member.Worker, member.Lease); time.Now().After(endsBy) {
+			return workerv1.TaskState_TASK_STATE_UNSPECIFIED
+		}
+		asked := time.Now()
+		if manager.stopOnce(ctx, member) {
+			return manager.readEnd(ctx, member, asked)
+		}
+		manager.wait(ctx, manager.Timing.HurrySync)
+	}
+	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
+}
+
+// stopOnce reports whether the worker confirmed that nothing runs under the lease.
+func (manager *Manager) stopOnce(ctx context.Context, member Member) bool {
+	confirmed := false
+	_ = manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+		response, err := client.Stop(ctx, &workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
+		confirmed = err == nil && (response.Done || response.Refusal == refusalNoLease)
+		return response.GetWorkerMs(), err
+	})
+	return confirmed
+}
+
+// readEnd waits for the sync that follows a confirmed stop and returns how the lease ended.
+func (manager *Manager) readEnd(ctx context.Context, member Member, asked time.Time) workerv1.TaskState {
+	manager.Hurry(member.Worker, time.Now().Add(manager.Timing.SyncEvery))
+	deadline := time.Now().Add(manager.Timing.SyncEvery * time.Duration(manager.Timing.MissedSyncs))
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		lease, ok := manager.Lease(member.Worker, member.Lease)
+		if ok && !lease.Active() {
+			return lease.State
+		}
+		if !ok && manager.SyncedSince(member.Worker, asked) {
+			break
+		}
+		manager.wait(ctx, manager.Timing.HurrySync/4)
+	}
+	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
+}
+
+func (manager *Manager) wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
