Add router of requests to targets

Cause: callers need requests run on bounded slots, at most once unless idempotent, and the outcome told correctly. Change: shares of slots and connections by seat, a fair bounded queue, own HTTP/2 connections with pings, retries within a budget, forwarding to peers, and the home of requests that are not idempotent.

--- /dev/null
+++ b/internal/target/dump.go
@@ -0,0 +1,72 @@
+package target
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Dump is the state of the request path of one process.
+type Dump struct {
+	Services    map[fleet.ServiceName]ServiceDump `json:"services"`
+	RetryTokens float64                           `json:"retry_tokens"`
+	// HeldIDs counts the ids of requests that are not idempotent, HeldOutcomes those that are.
+	HeldIDs      int         `json:"held_ids"`
+	HeldOutcomes int         `json:"held_outcomes"`
+	HeldAnswers  fleet.Bytes `json:"held_answer_bytes"`
+}
+
+// ServiceDump is the state of one service.
+type ServiceDump struct {
+	// Waiting counts the waiting requests of each organisation.
+	Waiting map[fleet.OrganisationID]int  `json:"waiting"`
+	Targets map[fleet.TargetID]BackendDump `json:"targets"`
+}
+
+// BackendDump is what this process uses of one target.
+type BackendDump struct {
+	State            string             `json:"state"`
+	DataCentre       fleet.DataCentreID `json:"data_centre"`
+	OwnedSlots       int                `json:"owned_slots"`
+	UsedSlots        int                `json:"used_slots"`
+	OwnedConnections int                `json:"owned_connections"`
+	UsedConnections  int                `json:"used_connections"`
+}
+
+// Dump returns the state of the request path, ready for JSON. It holds no bodies and no tokens.
+func (router *Router) Dump() any {
+	router.init()
+	dump := Dump{Services: map[fleet.ServiceName]ServiceDump{}, RetryTokens: router.budget.left()}
+	dump.HeldIDs, dump.HeldOutcomes, dump.HeldAnswers = router.ledger.size()
+	for _, group := range router.allGroups() {
+		dump.Services[group.service] = group.dump()
+	}
+	return dump
+}
+
+func (group *group) dump() ServiceDump {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	dump := ServiceDump{Waiting: map[fleet.OrganisationID]int{}, Targets: map[fleet.TargetID]BackendDump{}}
+	for id, organisation := range group.queue.organisations {
+		dump.Waiting[id] = organisation.waiting
+	}
+	now := time.Now()
+	for id, backend := range group.backends {
+		dump.Targets[id] = BackendDump{
+			State:            backend.state(now),
+			DataCentre:       backend.target.DataCentre,
+			OwnedSlots:       backend.share.slots,
+			UsedSlots:        backend.used,
+			OwnedConnections: backend.share.connections,
+			UsedConnections:  backend.pool.count(),
+		}
+	}
+	return dump
+}
+
+func (router *Router) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, router.Metrics)
+}
--- /dev/null
+++ b/internal/target/home.go
@@ -0,0 +1,196 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+const (
+	lookUpTimeout = 2 * time.Second
+	flushTimeout  = 2 * time.Second
+	// maxPendingOutcomes bounds the outcomes that wait for their home; further ones are dropped.
+	maxPendingOutcomes = 8192
+	maxBatch           = 512
+)
+
+// homeOf returns the seat that is the home of a request id.
+func (router *Router) homeOf(key string) peer.Seat {
+	return router.RankSeats(key, router.View.Seats())[0]
+}
+
+// runAtHome brings a request that is not idempotent to its home.
+func (router *Router) runAtHome(task *task) *callerv1.CallResponse {
+	home := router.homeOf(task.key)
+	if seat, _, ok := router.View.OwnSeat(); ok && seat == home {
+		return router.serveHome(task)
+	}
+	holder, ok := router.View.SeatHolder(home)
+	if !ok || holder.Client == nil {
+		return unproven(task.call, fault.New(fault.HomeUnavailable, "no live process holds seat %d", home))
+	}
+	router.count("forwards.home")
+	response, proven := router.forward(task, &holder, &peerv1.ForwardCallRequest{
+		Organisation: string(task.organisation),
+		Call:         task.call,
+		AsHome:       true,
+	}, router.groupOf(task.profile.Service).longestTime())
+	if proven && response == nil {
+		return unproven(task.call, fault.New(fault.HomeUnavailable, "the holder of seat %d could not be asked", home))
+	}
+	return response
+}
+
+// serveHome runs a request as its home: at most once for each id.
+func (router *Router) serveHome(task *task) *callerv1.CallResponse {
+	seat, since, ok := router.View.OwnSeat()
+	if !ok || seat != router.homeOf(task.key) {
+		return unproven(task.call, fault.New(fault.HomeUnavailable, "this process is not the home of the request id"))
+	}
+	found, fresh, refused := router.ledger.begin(task, since)
+	if refused != nil {
+		return refused
+	}
+	if !fresh {
+		router.count("duplicates")
+		return router.awaitFirst(task, found)
+	}
+	response := router.attempts(task)
+	router.ledger.finish(found, response)
+	return response
+}
+
+// awaitFirst waits for the end of an earlier copy and gives its answer.
+func (router *Router) awaitFirst(task *task, first *record) *callerv1.CallResponse {
+	// The first copy may have run, so this one can no longer be told that it did not.
+	task.suspect()
+	timer := time.NewTimer(time.Until(task.deadline))
+	defer timer.Stop()
+	select {
+	case <-first.done:
+		return router.ledger.responseTo(task.call, first)
+	case <-task.gone:
+	case <-timer.C:
+	}
+	return unknown(task.call, fault.AnswerLost, "the first copy of this request has not ended")
+}
+
+// statusFromHome asks the home of a request id.
+func (router *Router) statusFromHome(ctx context.Context, id fleet.OrganisationID, request fleet.RequestID) *callerv1.StatusResponse {
+	key := keyOf(id, request)
+	home := router.homeOf(key)
+	if seat, _, ok := router.View.OwnSeat(); ok && seat == home {
+		return router.ledger.status(key)
+	}
+	holder, ok := router.View.SeatHolder(home)
+	if !ok || holder.Client == nil {
+		return unknownStatus("the home of this request id is not available")
+	}
+	ctx, cancel := context.WithTimeout(ctx, lookUpTimeout)
+	defer cancel()
+	answer, err := holder.Client.LookUp(ctx, connect.NewRequest(&peerv1.LookUpRequest{
+		Organisation: string(id), RequestId: string(request),
+	}))
+	if err != nil {
+		return unknownStatus("the home of this request id could not be asked: " + err.Error())
+	}
+	return answer.Msg
+}
+
+// LookUp serves a peer that asks this process as the home of a request id.
+func (router *Router) LookUp(_ context.Context, request *peerv1.LookUpRequest) (*callerv1.StatusResponse, error) {
+	router.init()
+	key := keyOf(fleet.OrganisationID(request.GetOrganisation()), fleet.RequestID(request.GetRequestId()))
+	return router.ledger.status(key), nil
+}
+
+// RecordOutcomes serves a peer that brings outcomes of idempotent requests to their home.
+func (router *Router) RecordOutcomes(_ context.Context, request *peerv1.RecordOutcomesRequest) (*peerv1.RecordOutcomesResponse, error) {
+	router.init()
+	router.keepOutcomes(request.GetOutcomes())
+	return &peerv1.RecordOutcomesResponse{}, nil
+}
+
+func (router *Router) keepOutcomes(batch []*peerv1.RequestOutcome) {
+	for _, outcome := range batch {
+		key := keyOf(fleet.OrganisationID(outcome.GetOrganisation()), fleet.RequestID(outcome.GetRequestId()))
+		router.ledger.tell(key, outcome.GetOutcome(), outcome.GetReason())
+	}
+}
+
+// outcomes holds the outcomes of idempotent requests until they are brought to their homes.
+type outcomes struct {
+	mu      sync.Mutex
+	pending []*peerv1.RequestOutcome
+}
+
+func (outcomes *outcomes) add(router *Router, task *task, response *callerv1.CallResponse) {
+	outcomes.mu.Lock()
+	defer outcomes.mu.Unlock()
+	if len(outcomes.pending) >= maxPendingOutcomes {
+		router.count("limit.pending_outcomes")
+		return
+	}
+	outcomes.pending = append(outcomes.pending, &peerv1.RequestOutcome{
+		Organisation: string(task.organisation),
+		RequestId:    task.call.GetRequestId(),
+		Outcome:      response.GetOutcome(),
+		Reason:       response.GetReason(),
+	})
+}
+
+func (outcomes *outcomes) take() []*peerv1.RequestOutcome {
+	outcomes.mu.Lock()
+	defer outcomes.mu.Unlock()
+	taken := outcomes.pending
+	outcomes.pending = nil
+	return taken
+}
+
+// flushOutcomes sends the pending outcomes to their homes in batches. A home that cannot be reached loses them;
+// their status is unknown then.
+func (router *Router) flushOutcomes(ctx context.Context) {
+	byHome := map[peer.Seat][]*peerv1.RequestOutcome{}
+	for _, outcome := range router.outcomes.take() {
+		key := keyOf(fleet.OrganisationID(outcome.GetOrganisation()), fleet.RequestID(outcome.GetRequestId()))
+		home := router.homeOf(key)
+		byHome[home] = append(byHome[home], outcome)
+	}
+	own, _, seated := router.View.OwnSeat()
+	var sending sync.WaitGroup
+	for home, batch := range byHome {
+		if seated && own == home {
+			router.keepOutcomes(batch)
+			continue
+		}
+		holder, ok := router.View.SeatHolder(home)
+		if !ok || holder.Client == nil {
+			router.counter("target.outcomes.lost").Inc(int64(len(batch)))
+			continue
+		}
+		sending.Go(func() { router.sendOutcomes(ctx, holder, batch) })
+	}
+	sending.Wait()
+}
+
+func (router *Router) sendOutcomes(ctx context.Context, to peer.Peer, batch []*peerv1.RequestOutcome) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	for len(batch) > 0 {
+		part := batch[:min(len(batch), maxBatch)]
+		batch = batch[len(part):]
+		_, err := to.Client.RecordOutcomes(ctx, connect.NewRequest(&peerv1.RecordOutcomesRequest{Outcomes: part}))
+		if err != nil {
+			router.counter("target.outcomes.lost").Inc(int64(len(part)))
+			router.Logger.Warn("outcomes not recorded at their home", "vm", to.VM.ID, "count", len(part), "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/target/router.go
@@ -0,0 +1,347 @@
+// Package target speaks to the targets of services: it routes short requests to slots that this process owns or
+// to peers, and tells the outcome of each.
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/quetzalstall/quetzalstall/internal/caller"
+	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+const (
+	defaultMaxWaiting  = 1024
+	defaultRequestTime = 30 * time.Second
+	defaultMaxAnswer   = 16 << 20
+	tickInterval       = 50 * time.Millisecond
+	// A leaving target gets nothing new 3 s after it is listed; the list is read several times in that time.
+	refreshInterval = 250 * time.Millisecond
+	flushInterval   = 200 * time.Millisecond
+)
+
+var _ caller.Calls = (*Router)(nil)
+
+// Router runs requests on targets. Its exported fields are set before Run.
+type Router struct {
+	View    peer.View
+	Configs caller.Configs
+	// Targets returns the targets of the platform's list.
+	Targets func() []fleet.Target
+	// DataCentre is that of this process; requests go to it first.
+	DataCentre fleet.DataCentreID
+	// Distance orders data centres, 0 for the nearest; nil puts DataCentre before all others.
+	Distance func(fleet.DataCentreID) int
+	// RankSeats orders the seats for a key; every process must use the same one.
+	RankSeats func(key string, seats int) []peer.Seat
+	// Dial opens connections to targets; nil uses net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Seed makes the choices between peers and the jitter repeatable.
+	Seed uint64
+	// MaxWaiting bounds the waiting requests of each service.
+	MaxWaiting int
+	// DefaultRequestTime is the longest request time of a profile that sets none.
+	DefaultRequestTime time.Duration
+	// MaxAnswer bounds an answer.
+	MaxAnswer fleet.Bytes
+	// MaxRecords bounds the request ids that this process holds as home; MaxHeldAnswers bounds their answers.
+	MaxRecords     int
+	MaxHeldAnswers fleet.Bytes
+	Logger         hclog.Logger
+	Metrics        metrics.Registry
+
+	once     sync.Once
+	random   *random
+	budget   retryBudget
+	ledger   *ledger
+	outcomes outcomes
+	seen     atomic.Pointer[profile.Config]
+
+	groupMu sync.Mutex
+	groups  map[fleet.ServiceName]*group
+
+	closeMu  sync.Mutex
+	closed   bool
+	inFlight sync.WaitGroup
+}
+
+// seatUse is the own seat at one moment.
+type seatUse struct {
+	seat  peer.Seat
+	since time.Time
+	seats int
+}
+
+func (router *Router) init() {
+	router.once.Do(func() {
+		setDefault(&router.MaxWaiting, defaultMaxWaiting)
+		setDefault(&router.DefaultRequestTime, defaultRequestTime)
+		setDefault(&router.MaxAnswer, defaultMaxAnswer)
+		setDefault(&router.MaxRecords, defaultMaxRecords)
+		setDefault(&router.MaxHeldAnswers, defaultMaxHeldAnswers)
+		if router.RankSeats == nil {
+			router.RankSeats = rankSeats
+		}
+		if router.Dial == nil {
+			router.Dial = (&net.Dialer{}).DialContext
+		}
+		if router.Logger == nil {
+			router.Logger = hclog.NewNullLogger()
+		}
+		if router.Metrics == nil {
+			router.Metrics = metrics.NewRegistry()
+		}
+		router.random = newRandom(router.Seed)
+		router.ledger = newLedger(router.MaxRecords, router.MaxHeldAnswers)
+		router.groups = map[fleet.ServiceName]*group{}
+		router.refresh()
+	})
+}
+
+func setDefault[T int | time.Duration | fleet.Bytes](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Run keeps the view of targets current and serves waiting requests until ctx ends.
+func (router *Router) Run(ctx context.Context) error {
+	router.init()
+	loops, ctx := errgroup.WithContext(ctx)
+	loops.Go(func() error { return every(ctx, tickInterval, router.dispatch) })
+	loops.Go(func() error { return every(ctx, refreshInterval, func() { router.maintain(ctx) }) })
+	loops.Go(func() error { return every(ctx, flushInterval, func() { router.flushOutcomes(ctx) }) })
+	return loops.Wait()
+}
+
+// every calls step at an interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, step func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			step()
+		}
+	}
+}
+
+func (router *Router) dispatch() {
+	for _, group := range router.allGroups() {
+		group.dispatchToPeers()
+	}
+}
+
+func (router *Router) maintain(ctx context.Context) {
+	router.refresh()
+	router.keepConnections(ctx)
+	router.ledger.expire(time.Now())
+}
+
+// Close takes no new requests and waits until every request in flight has ended. Run must go on until then.
+func (router *Router) Close() error {
+	router.init()
+	router.closeMu.Lock()
+	router.closed = true
+	router.closeMu.Unlock()
+	router.inFlight.Wait()
+	router.flushOutcomes(context.Background())
+	for _, group := range router.allGroups() {
+		group.closePools()
+	}
+	return nil
+}
+
+// Call runs a request on one target and returns its outcome.
+func (router *Router) Call(ctx context.Context, id fleet.OrganisationID, call *callerv1.CallRequest) *callerv1.CallResponse {
+	router.init()
+	task, problem := router.admit(ctx, id, call)
+	if problem != nil {
+		router.countRefusal(problem.Kind)
+		return unproven(call, problem)
+	}
+	if !router.enter() {
+		router.countRefusal(fault.Draining)
+		return unproven(call, fault.New(fault.Draining, "the process is stopping"))
+	}
+	router.budget.deposit()
+	go router.serve(task, router.start)
+	return router.await(ctx, task)
+}
+
+// start runs a request that a caller sent to this process.
+func (router *Router) start(task *task) *callerv1.CallResponse {
+	if task.idempotent() {
+		return router.runHere(task)
+	}
+	return router.runAtHome(task)
+}
+
+// admit checks a request against the configuration in force.
+func (router *Router) admit(ctx context.Context, id fleet.OrganisationID, call *callerv1.CallRequest) (*task, *fault.Error) {
+	config := router.Configs.Current()
+	if config == nil {
+		return nil, fault.New(fault.Starting, "there is no configuration yet")
+	}
+	if router.seen.Swap(config) != config {
+		router.refresh()
+	}
+	used, ok := config.Lookup(id, fleet.ProfileName(call.GetProfile()))
+	if !ok || used.IsJob() {
+		return nil, fault.New(fault.UnknownProfile, "no profile %q for requests", call.GetProfile()).WithField("profile")
+	}
+	if !used.Idempotent && call.GetFirstSentUnixMs() <= 0 {
+		return nil, fault.New(fault.InvalidArgument, "a profile that is not idempotent needs the time of the first submission").
+			WithField("first_sent_unix_ms")
+	}
+	return newTask(id, call, used, router.deadlineOf(ctx, used)), nil
+}
+
+func (router *Router) deadlineOf(ctx context.Context, used *profile.Profile) time.Time {
+	latest := time.Now().Add(router.longestOf(used))
+	if deadline, ok := ctx.Deadline(); ok && deadline.Before(latest) {
+		return deadline
+	}
+	return latest
+}
+
+func (router *Router) longestOf(used *profile.Profile) time.Duration {
+	if used.Limits.MaxRunTime > 0 {
+		return time.Duration(used.Limits.MaxRunTime)
+	}
+	return router.DefaultRequestTime
+}
+
+// enter counts a request in flight unless the router is closed.
+func (router *Router) enter() bool {
+	router.closeMu.Lock()
+	defer router.closeMu.Unlock()
+	if router.closed {
+		return false
+	}
+	router.inFlight.Add(1)
+	return true
+}
+
+// serve runs a task to its end, whether or not its caller waits.
+func (router *Router) serve(task *task, run func(*task) *callerv1.CallResponse) {
+	defer router.inFlight.Done()
+	task.response = run(task)
+	if kind := fault.Kind(task.response.GetKind()); kind != "" {
+		router.countRefusal(kind)
+	}
+	close(task.done)
+}
+
+// await waits for the end of a task, or for that of its caller.
+func (router *Router) await(ctx context.Context, task *task) *callerv1.CallResponse {
+	select {
+	case <-task.done:
+		return task.response
+	case <-ctx.Done():
+	}
+	if task.abandon() {
+		return notRun(task.call, fault.New(fault.DeadlineBeforeStart, "the deadline passed or the caller left before the request was sent"))
+	}
+	select {
+	case <-task.done:
+		return task.response
+	default:
+		return unknown(task.call, fault.AnswerLost, "the deadline passed or the caller left after the request was sent")
+	}
+}
+
+// refresh takes over the inventory, the own seat and the configuration in force.
+func (router *Router) refresh() {
+	own := seatUse{seat: peer.NoSeat, seats: router.View.Seats()}
+	if seat, since, ok := router.View.OwnSeat(); ok {
+		own.seat, own.since = seat, since
+	}
+	byService := map[fleet.ServiceName][]fleet.Target{}
+	for _, target := range router.Targets() {
+		byService[target.Service] = append(byService[target.Service], target)
+	}
+	for service := range byService {
+		router.groupOf(service)
+	}
+	longest := router.longestTimes()
+	for _, group := range router.allGroups() {
+		limit, ok := longest[group.service]
+		if !ok {
+			limit = router.DefaultRequestTime
+		}
+		group.refresh(byService[group.service], own, limit)
+	}
+}
+
+// longestTimes returns the longest request time of each service over all profiles.
+func (router *Router) longestTimes() map[fleet.ServiceName]time.Duration {
+	result := map[fleet.ServiceName]time.Duration{}
+	config := router.Configs.Current()
+	if config == nil {
+		return result
+	}
+	for _, organisation := range config.Organisations {
+		for i := range organisation.Profiles {
+			used := &organisation.Profiles[i]
+			if !used.IsJob() {
+				result[used.Service] = max(result[used.Service], router.longestOf(used))
+			}
+		}
+	}
+	return result
+}
+
+func (router *Router) distance(centre fleet.DataCentreID) int {
+	switch {
+	case router.Distance != nil:
+		return router.Distance(centre)
+	case centre == router.DataCentre:
+		return 0
+	}
+	return 1
+}
+
+func (router *Router) groupOf(service fleet.ServiceName) *group {
+	router.groupMu.Lock()
+	defer router.groupMu.Unlock()
+	found, ok := router.groups[service]
+	if !ok {
+		found = newGroup(service, router)
+		router.groups[service] = found
+	}
+	return found
+}
+
+func (router *Router) allGroups() []*group {
+	router.groupMu.Lock()
+	defer router.groupMu.Unlock()
+	result := make([]*group, 0, len(router.groups))
+	for _, group := range router.groups {
+		result = append(result, group)
+	}
+	return result
+}
+
+// FreeSlots returns the free slots of each service that peers may ask for.
+func (router *Router) FreeSlots() map[fleet.ServiceName]int {
+	router.init()
+	free := map[fleet.ServiceName]int{}
+	for _, group := range router.allGroups() {
+		free[group.service] = group.freeSlots()
+	}
+	return free
+}
