--- a/internal/target/dump.go
+++ b/internal/target/dump.go
@@ -21,7 +21,7 @@
 // ServiceDump is the state of one service.
 type ServiceDump struct {
 	// Waiting counts the waiting requests of each organisation.
-	Waiting map[fleet.OrganisationID]int  `json:"waiting"`
+	Waiting map[fleet.OrganisationID]int   `json:"waiting"`
 	Targets map[fleet.TargetID]BackendDump `json:"targets"`
 }
 
