--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -18,7 +18,7 @@
 )
 
 // kindHeader carries the error kind of a refusal.
-const kindHeader = "Quetzalstall-Kind"
+const kindHeader = "Error-Kind"
 
 func connectErrorAs(err error, into **connect.Error) bool { return errors.As(err, into) }
 
