--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -36,6 +36,8 @@
 	ErrNotFound = errors.New("key does not exist")
 	// ErrUnavailable means that the store did not take the call; nothing was written.
 	ErrUnavailable = errors.New("store is unavailable")
+	// ErrRefused means that the store takes no such call, for example a value that is too large; nothing was written.
+	ErrRefused = errors.New("store refuses the call")
 	// ErrOutcomeUnknown means that a write may or may not have taken effect.
 	ErrOutcomeUnknown = errors.New("outcome of the write is not known")
 )
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1"
+)
+
+// Watch delivers the entries under prefix and then their changes until ctx ends. It does not deliver deletions
+// that happened while it was not connected: an entry that is missing before Current is gone.
+func (store *RemoteStore) Watch(ctx context.Context, prefix string, deliver func(Change)) {
+	backoff := store.WatchBackoff
+	for ctx.Err() == nil {
+		caughtUp, err := store.watchOnce(ctx, prefix, deliver)
+		if ctx.Err() != nil {
+			return
+		}
+		store.fail("watch", err)
+		if caughtUp {
+			backoff.Reset()
+		}
+		_ = sleep(ctx, backoff.Next())
+	}
+}
+
+// watchOnce reads one stream to its end and reports whether it caught up with the store.
+func (store *RemoteStore) watchOnce(ctx context.Context, prefix string, deliver func(Change)) (bool, error) {
+	if err := store.Budget.Take(ctx); err != nil {
+		return false, err
+	}
+	store.count("watch")
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := store.client.Watch(bounded, connect.NewRequest(&platformv1.WatchRequest{Prefix: prefix}))
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = stream.Close() }()
+	caughtUp := false
+	for stream.Receive() {
+		store.failed.Store(false)
+		change := changeFrom(stream.Msg())
+		caughtUp = caughtUp || change.Current
+		deliver(change)
+	}
+	return caughtUp, stream.Err()
+}
+
+func changeFrom(message *platformv1.WatchResponse) Change {
+	change := Change{Deleted: message.GetDeleted(), Current: message.GetCurrent()}
+	if message.GetEntry() != nil {
+		change.Entry = entryFrom(message.GetEntry())
+	}
+	return change
+}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -25,7 +25,8 @@
 			}
 			writer.WriteHeader(http.StatusNoContent)
 		}), nil)
-		go func() { _ = server.Serve(memory.Listen("peer:80")) }()
+		listener := memory.Listen("peer:80")
+		go func() { _ = server.Serve(listener) }()
 		client := transport.NewHTTPClientWithDial(nil, memory.Dial)
 		defer client.CloseIdleConnections()
 		defer func() { _ = server.Close() }()
