Bound the cost of a decision at the design size

Cause: at 12,000 workers with 230,000 tasks and 535 waiting jobs a decision took 115,101 steps and 9.8 ms at the 99th percentile, since every organisation repeated searches that had failed for another one, and gangs were grouped through maps.

Failed searches that do not depend on the organisation are remembered until capacity is freed, failed reclaims until the organisation's own room grows.

--- a/pkg/scheduler/admit.go
+++ b/pkg/scheduler/admit.go
@@ -59,7 +59,10 @@
 	}
 	owner := core.organisation(job.Key.Organisation)
 	question := feasibility{owner.tenant, *shape, job.Profile.Preemptible()}
-	if core.fitsSometime(owner, question) {
+	if question.preemptible {
+		question.tenant = anyTenant
+	}
+	if core.fitsSometime(question) {
 		return nil
 	}
 	if question.preemptible {
@@ -69,6 +72,9 @@
 		"%s does not fit in the organisation's guarantees and outside other guarantees", shape)
 }
 
+// anyTenant stands for the organisation in questions whose answer does not depend on it.
+const anyTenant = -1
+
 // feasibility is a question whether a gang could run if nothing else did.
 type feasibility struct {
 	tenant      int
@@ -78,32 +84,41 @@
 
 // fitsSometime answers from the cells and workers alone. Lost and quarantined workers count, since they may
 // come back.
-func (core *Core) fitsSometime(owner *organisation, question feasibility) bool {
+func (core *Core) fitsSometime(question feasibility) bool {
 	if answer, known := core.feasible[question]; known {
 		return answer
 	}
-	unit := resourcesOf(question.shape)
-	var candidates []candidate
+	answer := false
 	for _, zone := range core.zones {
-		for _, machine := range zone.workers {
-			core.steps++
-			if machine == nil || machine.Leaving {
-				continue
-			}
-			room := machine.capacity
-			if !question.preemptible {
-				room = machine.emptyRoom(owner.tenant)
-			}
-			if slots := room.quotient(unit); slots > 0 {
-				candidates = append(candidates, candidate{worker: machine, members: slots})
-			}
+		if core.assemble(question.shape, core.emptyCandidates(zone, question)) != nil {
+			answer = true
+			break
 		}
 	}
-	answer := core.assemble(question.shape, candidates) != nil
 	core.feasible[question] = answer
 	return answer
 }
 
+// emptyCandidates lists the workers of a data centre as if nothing ran.
+func (core *Core) emptyCandidates(zone *zone, question feasibility) []candidate {
+	unit := resourcesOf(question.shape)
+	var candidates []candidate
+	for _, machine := range zone.workers {
+		core.steps++
+		if machine == nil || machine.Leaving {
+			continue
+		}
+		room := machine.capacity
+		if !question.preemptible {
+			room = machine.emptyRoom(question.tenant)
+		}
+		if slots := room.quotient(unit); slots > 0 {
+			candidates = append(candidates, candidate{worker: machine, members: slots})
+		}
+	}
+	return candidates
+}
+
 // emptyRoom returns what the cells of other tenants leave of an empty worker.
 func (worker *worker) emptyRoom(tenant int) resources {
 	room := worker.capacity
--- a/pkg/scheduler/cells.go
+++ b/pkg/scheduler/cells.go
@@ -249,6 +249,7 @@
 		}
 	}
 	for owner := range moved {
-		slices.SortFunc(owner.cellWorkers, func(left, right *worker) int { return cmp.Compare(left.ID, right.ID) })
+		slices.SortFunc(owner.cellWorkers, compareLocation)
+		owner.roomVersion++
 	}
 }
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -40,6 +40,8 @@
 	// feasible holds answers that stay true until recheck is set.
 	feasible    map[feasibility]bool
 	quarantined int
+	// exhausted holds the searches that found nothing, with the version at that time.
+	exhausted map[searchKey]uint64
 	// version changes whenever capacity may have become free.
 	version uint64
 	steps   uint64
@@ -54,13 +56,14 @@
 func NewCore(settings Settings) *Core {
 	settings = settings.withDefaults()
 	return &Core{
-		settings: settings,
-		workers:  map[fleet.WorkerID]*worker{},
-		zoneOf:   map[fleet.DataCentreID]*zone{},
-		byID:     map[fleet.OrganisationID]*organisation{},
-		jobs:     map[fleet.JobKey]*entry{},
-		feasible: map[feasibility]bool{},
-		history:  newHistory(settings.History),
+		settings:  settings,
+		workers:   map[fleet.WorkerID]*worker{},
+		zoneOf:    map[fleet.DataCentreID]*zone{},
+		byID:      map[fleet.OrganisationID]*organisation{},
+		jobs:      map[fleet.JobKey]*entry{},
+		feasible:  map[feasibility]bool{},
+		exhausted: map[searchKey]uint64{},
+		history:   newHistory(settings.History),
 	}
 }
 
--- a/pkg/scheduler/entry.go
+++ b/pkg/scheduler/entry.go
@@ -196,6 +196,7 @@
 	}
 	job.holdings = nil
 	job.organisation.held -= job.total
+	job.organisation.roomVersion++
 	core.freed()
 }
 
--- a/pkg/scheduler/fairness.go
+++ b/pkg/scheduler/fairness.go
@@ -60,6 +60,10 @@
 	// cellsMoved is set when cellWorkers is out of date.
 	cellsMoved bool
 	queue      queue
+	// roomVersion changes whenever the organisation's cells may hold more of its work.
+	roomVersion uint64
+	// crowded holds the classes that the cells cannot hold, with the room version.
+	crowded map[class]uint64
 	// failed holds the classes that found no place, with the version of the free capacity.
 	failed map[class]uint64
 }
@@ -74,6 +78,7 @@
 		tenant:  len(core.organisations),
 		callers: map[fleet.CallerID]*caller{},
 		failed:  map[class]uint64{},
+		crowded: map[class]uint64{},
 	}
 	fresh.queue.init()
 	core.byID[id] = fresh
--- a/pkg/scheduler/index.go
+++ b/pkg/scheduler/index.go
@@ -56,7 +56,9 @@
 
 // zone is one data centre with its workers indexed by what they have left.
 type zone struct {
-	id      fleet.DataCentreID
+	id fleet.DataCentreID
+	// serial numbers the zones, and the racks of a zone, in order of appearance.
+	serial  int
 	workers []*worker
 	racks   []*rack
 	rackOf  map[fleet.RackID]*rack
@@ -68,6 +70,7 @@
 // rack is one rack of a zone.
 type rack struct {
 	id      fleet.RackID
+	serial  int
 	workers []*worker
 	totals  [views]int64
 }
@@ -76,7 +79,7 @@
 func (zone *zone) insert(machine *worker) {
 	home, ok := zone.rackOf[machine.Rack]
 	if !ok {
-		home = &rack{id: machine.Rack}
+		home = &rack{id: machine.Rack, serial: len(zone.racks)}
 		zone.rackOf[machine.Rack] = home
 		zone.racks = append(zone.racks, home)
 	}
@@ -146,6 +149,11 @@
 	if machine.bindableState() {
 		keys[viewBind] = int(max(machine.bindable[0], 0))
 	}
+	if machine.keys[viewFree] == absent && keys[viewFree] != absent {
+		for _, share := range machine.shares {
+			core.organisations[share.tenant].roomVersion++
+		}
+	}
 	for in, key := range keys {
 		machine.zone.rekey(machine, view(in), key)
 	}
--- a/pkg/scheduler/inventory.go
+++ b/pkg/scheduler/inventory.go
@@ -17,7 +17,7 @@
 	if known, ok := core.zoneOf[id]; ok {
 		return known
 	}
-	fresh := &zone{id: id, rackOf: map[fleet.RackID]*rack{}}
+	fresh := &zone{id: id, serial: len(core.zones), rackOf: map[fleet.RackID]*rack{}}
 	core.zoneOf[id] = fresh
 	core.zones = append(core.zones, fresh)
 	return fresh
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -18,10 +18,18 @@
 // assemble chooses holdings for all members from candidates, or nil. It prefers the adjacent group with the
 // least cost and then the one that leaves the least unused.
 func (core *Core) assemble(shape fleet.Shape, candidates []candidate) []holding {
-	groups := groupByAdjacency(shape.Adjacency, candidates)
+	if !slices.IsSortedFunc(candidates, byLocation) {
+		slices.SortFunc(candidates, byLocation)
+	}
 	var best []holding
 	bestCost, bestLeft := 0.0, 0
-	for _, group := range groups {
+	for len(candidates) > 0 {
+		size := 1
+		for size < len(candidates) && adjacent(shape.Adjacency, candidates[0].worker, candidates[size].worker) {
+			size++
+		}
+		group := candidates[:size]
+		candidates = candidates[size:]
 		core.steps += uint64(len(group))
 		holdings, cost, left := pick(shape.Members, group)
 		if holdings == nil {
@@ -34,29 +42,29 @@
 	return best
 }
 
-// groupByAdjacency splits candidates into the groups in which a gang may run, in order of appearance.
-func groupByAdjacency(adjacency fleet.Adjacency, candidates []candidate) [][]candidate {
-	var groups [][]candidate
-	index := map[any]int{}
-	for _, candidate := range candidates {
-		var key any
-		switch adjacency {
-		case fleet.AdjacencyWorker:
-			key = candidate.worker
-		case fleet.AdjacencyRack:
-			key = candidate.worker.rack
-		default:
-			key = candidate.worker.zone
-		}
-		at, ok := index[key]
-		if !ok {
-			at = len(groups)
-			index[key] = at
-			groups = append(groups, nil)
-		}
-		groups[at] = append(groups[at], candidate)
+// byLocation orders candidates so that those of one rack and of one data centre follow each other.
+func byLocation(left, right candidate) int { return compareLocation(left.worker, right.worker) }
+
+func compareLocation(left, right *worker) int {
+	if order := cmp.Compare(left.zone.serial, right.zone.serial); order != 0 {
+		return order
+	}
+	if order := cmp.Compare(left.rack.serial, right.rack.serial); order != 0 {
+		return order
+	}
+	return cmp.Compare(left.slot, right.slot)
+}
+
+// adjacent reports whether members of one gang may run on both workers.
+func adjacent(adjacency fleet.Adjacency, left, right *worker) bool {
+	switch adjacency {
+	case fleet.AdjacencyWorker:
+		return left == right
+	case fleet.AdjacencyRack:
+		return left.rack == right.rack
+	default:
+		return left.zone == right.zone
 	}
-	return groups
 }
 
 // pick takes members from one group by cost, then from the fullest workers. It also returns the cost and
@@ -133,24 +141,52 @@
 	return core.assemble(job.shape(), candidates)
 }
 
-// findOpen looks for free accelerators that no cell covers.
-func (core *Core) findOpen(job *entry) []holding {
-	search := search{core, viewOpen, job.shape(), job.openSlots}
-	return search.find()
+// searchKey names a search whose result does not depend on the job's organisation.
+type searchKey struct {
+	in    view
+	shape fleet.Shape
 }
 
+// findIn looks through the index of a view. A search that failed is not repeated before capacity becomes
+// free, whichever organisation asks.
+func (core *Core) findIn(job *entry, in view, slots func(*worker) int) []holding {
+	key := searchKey{in, job.shape()}
+	if version, failed := core.exhausted[key]; failed && version == core.version {
+		return nil
+	}
+	search := search{core, in, job.shape(), slots}
+	holdings := search.find()
+	if holdings == nil && len(job.failedOn) == 0 {
+		core.exhausted[key] = core.version
+	}
+	return holdings
+}
+
+// findOpen looks for free accelerators that no cell covers.
+func (core *Core) findOpen(job *entry) []holding { return core.findIn(job, viewOpen, job.openSlots) }
+
 // findAny looks for free accelerators wherever the job may run.
 func (core *Core) findAny(job *entry) []holding {
 	if job.preemptible {
-		search := search{core, viewFree, job.shape(), job.freeSlots}
-		return search.find()
+		return core.findIn(job, viewFree, job.freeSlots)
 	}
-	if len(job.organisation.cellWorkers) == 0 {
+	if !core.hasOwnFree(job) {
 		return nil
 	}
 	return core.assemble(job.shape(), core.mixedCandidates(job))
 }
 
+// hasOwnFree reports whether any accelerator is free in the organisation's cells.
+func (core *Core) hasOwnFree(job *entry) bool {
+	for _, machine := range job.organisation.cellWorkers {
+		core.steps++
+		if machine.usable() && machine.ownRoom(job.organisation.tenant).atMost(machine.free)[0] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // mixedCandidates lists workers with the organisation's cells and workers with open accelerators.
 func (core *Core) mixedCandidates(job *entry) []candidate {
 	var candidates []candidate
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -81,21 +81,28 @@
 // available returns what is free or about to become free on a worker.
 func (worker *worker) available() resources { return worker.free.plus(worker.ending) }
 
-// reclaimCandidates lists the workers with own cells that could hold members after evictions.
-func (core *Core) reclaimCandidates(now time.Time, job *entry) []candidate {
+// roomCandidates lists the workers on which the organisation's cells have room that it does not use itself.
+func (core *Core) roomCandidates(job *entry) []candidate {
 	var candidates []candidate
 	for _, machine := range job.organisation.cellWorkers {
 		core.steps++
 		if !machine.usable() || job.avoids(machine) {
 			continue
 		}
-		slots := job.reclaimRoom(machine).quotient(job.unit)
-		if slots == 0 {
-			continue
+		if slots := job.reclaimRoom(machine).quotient(job.unit); slots > 0 {
+			candidates = append(candidates, candidate{worker: machine, members: slots})
 		}
-		slots, cost := core.reclaimCost(now, job, machine, slots)
+	}
+	return candidates
+}
+
+// reclaimCandidates lists the workers with own cells that could hold members after evictions.
+func (core *Core) reclaimCandidates(now time.Time, job *entry) []candidate {
+	var candidates []candidate
+	for _, room := range core.roomCandidates(job) {
+		slots, cost := core.reclaimCost(now, job, room.worker, room.members)
 		if slots > 0 {
-			candidates = append(candidates, candidate{machine, slots, cost})
+			candidates = append(candidates, candidate{room.worker, slots, cost})
 		}
 	}
 	return candidates
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -102,13 +102,19 @@
 
 // tryGuarantee places a job that its organisation's cells can hold, by reclaim if need be.
 func (core *Core) tryGuarantee(now time.Time, job *entry) bool {
-	if len(job.organisation.cellWorkers) == 0 {
+	owner := job.organisation
+	if len(owner.cellWorkers) == 0 {
+		return false
+	}
+	kind := classOf(job)
+	if version, known := owner.crowded[kind]; known && version == owner.roomVersion {
 		return false
 	}
 	if holdings := core.findOwn(job); holdings != nil {
 		return core.start(now, job, holdings, "free cells of its organisation")
 	}
-	if core.assemble(job.shape(), core.reclaimCandidates(now, job)) == nil {
+	if core.assemble(job.shape(), core.roomCandidates(job)) == nil {
+		owner.crowded[kind] = owner.roomVersion
 		return false
 	}
 	if holdings := core.findOpen(job); holdings != nil {
