--- /dev/null
+++ b/internal/domain/accept.go
@@ -0,0 +1,204 @@
+package domain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+const (
+	// createTimeout bounds the creation of a record when the caller sets no shorter time.
+	createTimeout = 5 * time.Second
+	// askTimeout bounds the wait for the owner's loop.
+	askTimeout = 2 * time.Second
+	// storeRetryAfter is when a caller may come back while the store is down.
+	storeRetryAfter = 2 * time.Second
+	// createPause is the time between two tries to create a record whose creation is in doubt.
+	createPause = 100 * time.Millisecond
+)
+
+// SubmitJob admits a job and creates its record. It runs at the owner.
+func (service *Service) SubmitJob(ctx context.Context, request *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	if !service.enter() {
+		return refusedSubmit(fault.New(fault.Draining, "the owner is stopping").WithRetryAfter(ownerRetryAfter)), nil
+	}
+	defer service.calls.Done()
+	owned := service.current()
+	if owned == nil {
+		return refusedSubmit(fault.New(fault.OwnerUnavailable, "the owner is changing").WithRetryAfter(ownerRetryAfter)), nil
+	}
+	record, refusal := service.newRecord(request)
+	if refusal != nil {
+		return refusedSubmit(refusal), nil
+	}
+	if _, ok := service.copies.get(record.Key()); ok {
+		return &peerv1.SubmitJobResponse{Duplicate: true}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, createTimeout)
+	defer cancel()
+	refusal, err := ask(ctx, owned, func() *fault.Error { return owned.admit(record) })
+	if err != nil {
+		return refusedSubmit(fault.New(fault.OwnerUnavailable, "the owner is busy").WithRetryAfter(ownerRetryAfter)), nil
+	}
+	if refusal != nil {
+		return refusedSubmit(refusal), nil
+	}
+	defer owned.post(func() { owned.admitted(record) })
+	return service.create(ctx, owned, record), nil
+}
+
+// newRecord checks a request against the configuration in force here, which must not be older than the sender's.
+func (service *Service) newRecord(request *peerv1.SubmitJobRequest) (*Record, *fault.Error) {
+	config := service.Configs.Current()
+	if config == nil || config.Revision < fleet.Revision(request.ConfigRevision) {
+		return nil, fault.New(fault.OwnerUnavailable, "the owner has not received configuration %d yet", request.ConfigRevision).WithRetryAfter(ownerRetryAfter)
+	}
+	job := request.Job
+	wanted, ok := config.Lookup(fleet.OrganisationID(request.Organisation), fleet.ProfileName(job.GetProfile()))
+	if !ok || !wanted.IsJob() {
+		return nil, fault.New(fault.UnknownProfile, "no profile %q for jobs", job.GetProfile()).WithField("profile")
+	}
+	return &Record{
+		WriteID:         service.nextWriteID(),
+		Organisation:    fleet.OrganisationID(request.Organisation),
+		Job:             fleet.JobID(job.JobId),
+		Caller:          fleet.CallerID(job.Caller),
+		Domain:          service.domain(),
+		Profile:         *wanted,
+		ConfigRevision:  config.Revision,
+		Input:           job.Input,
+		DeclaredRunTime: time.Duration(job.DeclaredRunTimeS * float64(time.Second)),
+		Submitted:       time.Now().UTC(),
+		State:           StateQueued,
+	}, nil
+}
+
+// create writes the record by CAS on absence. When the effect of a write is not known, the same write is
+// repeated: it then succeeds, or it finds itself or another record.
+func (service *Service) create(ctx context.Context, owned *owner, record *Record) *peerv1.SubmitJobResponse {
+	text, err := record.encode()
+	if err != nil {
+		return refusedSubmit(fault.Of(err))
+	}
+	doubt := false
+	for {
+		revision, err := service.Store.Swap(ctx, recordKey(record.Key()), text, 0)
+		switch {
+		case err == nil:
+			return service.created(owned, record, revision, false)
+		case errors.Is(err, platform.ErrConflict):
+			found, revision, err := service.read(ctx, record.Key())
+			if err == nil {
+				return service.created(owned, found, revision, found.WriteID != record.WriteID)
+			}
+			if !doubt && !errors.Is(err, platform.ErrNotFound) {
+				return refusedSubmit(fault.New(fault.AnswerLost, "another job %s exists and cannot be read", record.Key()))
+			}
+		case errors.Is(err, platform.ErrUnavailable):
+			if !doubt {
+				return refusedSubmit(fault.New(fault.StoreUnavailable, "the store takes no jobs").WithRetryAfter(storeRetryAfter))
+			}
+		default:
+			doubt = true
+		}
+		sleep(ctx, createPause)
+		if ctx.Err() != nil {
+			return refusedSubmit(service.uncreated(doubt, record.Key()))
+		}
+	}
+}
+
+// uncreated returns the refusal of a job whose record could not be created in time.
+func (service *Service) uncreated(doubt bool, key fleet.JobKey) *fault.Error {
+	if doubt {
+		return fault.New(fault.AnswerLost, "the record of job %s may or may not have been created", key)
+	}
+	return fault.New(fault.StoreUnavailable, "the store did not take job %s in time", key).WithRetryAfter(storeRetryAfter)
+}
+
+func (service *Service) created(owned *owner, record *Record, revision platform.StoreRevision, duplicate bool) *peerv1.SubmitJobResponse {
+	if service.copies.put(record, revision) {
+		owned.post(func() { owned.copied(record.Key(), record, revision) })
+	}
+	if !duplicate {
+		service.count("jobs_accepted", 1)
+		service.Logger.Info("job accepted", "job", record.Job, "organisation", record.Organisation,
+			"profile", record.Profile.Name, "revision", record.ConfigRevision)
+	}
+	return &peerv1.SubmitJobResponse{Duplicate: duplicate}
+}
+
+// read returns the record of a job in the store.
+func (service *Service) read(ctx context.Context, key fleet.JobKey) (*Record, platform.StoreRevision, error) {
+	entry, err := service.Store.Get(ctx, recordKey(key))
+	if err != nil {
+		return nil, 0, errors.Wrapf(err, "record of job %s", key)
+	}
+	record, err := decodeRecord(entry.Value)
+	return record, entry.Revision, err
+}
+
+func refusedSubmit(refusal *fault.Error) *peerv1.SubmitJobResponse {
+	return &peerv1.SubmitJobResponse{
+		Kind:         string(refusal.Kind),
+		Reason:       refusal.Reason,
+		RetryAfterMs: refusal.RetryAfter.Milliseconds(),
+	}
+}
+
+// CancelJob asks for the end of a job. It answers once the cancellation outlives the owner, or while the store is
+// down. It runs at the owner.
+func (service *Service) CancelJob(ctx context.Context, request *peerv1.CancelJobRequest) (*peerv1.CancelJobResponse, error) {
+	key := fleet.JobKey{Organisation: fleet.OrganisationID(request.Organisation), Job: fleet.JobID(request.JobId)}
+	owned := service.current()
+	if owned == nil {
+		return refusedCancel(fault.New(fault.OwnerUnavailable, "the owner is changing")), nil
+	}
+	record, err := service.find(ctx, key)
+	if err != nil {
+		return refusedCancel(fault.Of(err)), nil
+	}
+	if record.State == StateEnded {
+		return &peerv1.CancelJobResponse{Outcome: record.outcome()}, nil
+	}
+	written := make(chan struct{})
+	known, err := ask(ctx, owned, func() bool { return owned.cancel(key, sync.OnceFunc(func() { close(written) })) })
+	if err != nil || !known {
+		return refusedCancel(fault.New(fault.OwnerUnavailable, "the owner does not hold job %s yet", key)), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, createTimeout)
+	defer cancel()
+	select {
+	case <-written:
+		return &peerv1.CancelJobResponse{Outcome: callerv1.Outcome_OUTCOME_PENDING}, nil
+	case <-owned.done:
+	case <-ctx.Done():
+	}
+	return refusedCancel(fault.New(fault.OwnerUnavailable, "the cancellation of job %s may not have been noted", key)), nil
+}
+
+func refusedCancel(refusal *fault.Error) *peerv1.CancelJobResponse {
+	return &peerv1.CancelJobResponse{Kind: string(refusal.Kind), Reason: refusal.Reason}
+}
+
+// ExplainJob tells the state of a job in the first line and the reasons for it in the others. It runs at the owner.
+func (service *Service) ExplainJob(ctx context.Context, request *peerv1.ExplainJobRequest) (*peerv1.ExplainJobResponse, error) {
+	key := fleet.JobKey{Organisation: fleet.OrganisationID(request.Organisation), Job: fleet.JobID(request.JobId)}
+	owned := service.current()
+	if owned == nil {
+		return nil, fault.New(fault.OwnerUnavailable, "the owner is changing")
+	}
+	lines, err := ask(ctx, owned, func() []string { return owned.explain(key) })
+	if err != nil {
+		return nil, err
+	}
+	return &peerv1.ExplainJobResponse{Lines: lines}, nil
+}
--- /dev/null
+++ b/internal/domain/attempt.go
@@ -0,0 +1,457 @@
+package domain
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+const (
+	// maxRounds bounds the decisions of one turn, so that failing placements do not occupy the loop.
+	maxRounds = 8
+	// checkpointGrace is how long a checkpoint may take before the core asks for a stop.
+	checkpointGrace = 2 * time.Second
+)
+
+// decide executes what the core decides.
+func (owner *owner) decide() {
+	if !owner.settled || owner.draining {
+		return
+	}
+	for range maxRounds {
+		decisions := owner.core.Decide(time.Now())
+		if len(decisions) == 0 {
+			return
+		}
+		for _, decision := range decisions {
+			owner.execute(decision)
+		}
+	}
+}
+
+func (owner *owner) execute(decision scheduler.Decision) {
+	switch decision := decision.(type) {
+	case scheduler.Place:
+		owner.place(decision)
+	case scheduler.Evict:
+		owner.evict(decision)
+	case scheduler.Throttle:
+		owner.throttle(decision)
+	case scheduler.Finish:
+		owner.finishJob(decision)
+	case scheduler.Quarantine:
+		owner.service.count("quarantine_changes", 1)
+		owner.logger.Warn("quarantine", "worker", decision.Worker, "active", decision.Active, "reason", decision.Reason)
+	}
+}
+
+// place records an attempt and then starts its gang.
+func (owner *owner) place(decision scheduler.Place) {
+	key := decision.Job.Key
+	placed := owner.jobs[key]
+	if placed == nil || !placed.inCore || placed.phase != phaseQueued {
+		owner.core.Apply(time.Now(), scheduler.PlaceFailed{Key: key, Attempt: decision.Attempt})
+		return
+	}
+	placed.phase = phaseStarting
+	placed.coreAttempt = decision.Attempt
+	if !placed.record.mayRunAgain() {
+		owner.leaveCore(placed)
+		owner.endUnrepeatable(placed)
+		return
+	}
+	if !placed.record.Profile.Idempotent && (!owner.service.Store.Healthy() || owner.service.StoreRegressed()) {
+		owner.park(placed)
+		return
+	}
+	owner.beginAttempt(placed, decision)
+}
+
+func (owner *owner) beginAttempt(job *job, decision scheduler.Place) {
+	began := time.Now()
+	job.old = append(job.old, job.members...)
+	job.record.Attempt++
+	job.record.State = StateStarting
+	job.record.Members = nil
+	for _, member := range decision.Members {
+		job.record.Members = append(job.record.Members, RecordMember{
+			Worker:       member.Worker,
+			Lease:        fleet.LeaseID(owner.nextID()),
+			Accelerators: member.Accelerators,
+		})
+	}
+	owner.setMembers(job, recordMembers(&job.record))
+	job.gone = make(map[fleet.LeaseID]bool)
+	job.unrecorded, job.checkpointing, job.evicted, job.hasEnded = false, false, false, false
+	attempt := job.record.Attempt
+	owner.service.count("placements", 1)
+	owner.logger.Info("attempt placed", "job", job.record.Job, "organisation", job.record.Organisation,
+		"attempt", attempt, "members", len(job.members), "reason", decision.Reason)
+	owner.save(job, func(result saveResult) {
+		if job.phase != phaseStarting || job.record.Attempt != attempt {
+			return
+		}
+		owner.recorded(job, result, began)
+	})
+}
+
+// recorded starts the gang once its attempt is recorded. Without a record only an idempotent job starts.
+func (owner *owner) recorded(job *job, result saveResult, began time.Time) {
+	if !result.ok && !job.record.Profile.Idempotent {
+		job.record.State = StateQueued
+		owner.park(job)
+		return
+	}
+	job.unrecorded = !result.ok
+	record := &job.record
+	gang := worker.Gang{
+		Key:            record.Key(),
+		Attempt:        record.Attempt,
+		Profile:        record.Profile.Name,
+		Shape:          *record.Profile.Shape,
+		ConfigRevision: record.ConfigRevision,
+		Unrecorded:     job.unrecorded,
+		Resume:         record.Checkpointed != 0,
+		Input:          record.Input,
+		Members:        job.members,
+		NoStartAfter:   began.Add(owner.service.Timing.Reservation),
+	}
+	owner.start(func(ctx context.Context) {
+		started := owner.manager.StartGang(ctx, gang)
+		owner.post(func() { owner.startDone(job, gang.Attempt, started) })
+	})
+}
+
+// startDone takes the result of a gang's start.
+func (owner *owner) startDone(job *job, attempt fleet.Attempt, result worker.StartResult) {
+	key := job.record.Key()
+	if owner.jobs[key] != job || job.phase != phaseStarting || job.record.Attempt != attempt {
+		return
+	}
+	switch {
+	case result.Started:
+		job.phase = phaseRunning
+		job.record.Begun = attempt
+		owner.service.count("gangs_started", 1)
+		owner.core.Apply(time.Now(), scheduler.GangStarted{Key: key, Attempt: job.coreAttempt})
+		if job.evicted {
+			owner.stopGang(job)
+			return
+		}
+		owner.review(job)
+	case result.Begun:
+		owner.stopGang(job)
+	default:
+		owner.neverRan(job, append(result.Busy, result.Failed...))
+	}
+}
+
+// neverRan returns a job to the queue after an attempt that never ran and holds nothing.
+func (owner *owner) neverRan(job *job, busy []fleet.WorkerID) {
+	now := time.Now()
+	job.phase = phaseQueued
+	job.record.State = StateQueued
+	owner.service.count("placements_refused", 1)
+	if job.finish != nil {
+		owner.finishJob(*job.finish)
+		return
+	}
+	owner.core.Apply(now, scheduler.PlaceFailed{Key: job.record.Key(), Attempt: job.coreAttempt, Busy: busy})
+	for _, id := range busy {
+		owner.stale[id] = now
+	}
+	owner.tellFreeOf(job.members)
+	if !job.record.Profile.Idempotent {
+		owner.saveLater(job)
+	}
+}
+
+func (owner *owner) evict(decision scheduler.Evict) {
+	evicted := owner.jobs[decision.Key]
+	if evicted == nil || !evicted.inCore {
+		return
+	}
+	owner.service.count("reclaims", 1)
+	owner.logger.Info("gang evicted", "job", decision.Key.Job, "organisation", decision.Key.Organisation,
+		"attempt", evicted.record.Attempt, "stop", decision.Step == scheduler.EvictStop, "reason", decision.Reason)
+	switch {
+	case evicted.phase == phaseStarting:
+		evicted.evicted = true
+	case evicted.phase != phaseRunning:
+	case decision.Step == scheduler.EvictStop:
+		owner.stopGang(evicted)
+	default:
+		evicted.checkpointing = true
+		members := evicted.members
+		owner.start(func(ctx context.Context) { owner.manager.Checkpoint(ctx, members, checkpointGrace) })
+	}
+}
+
+func (owner *owner) throttle(decision scheduler.Throttle) {
+	throttled := owner.jobs[decision.Key]
+	if throttled == nil || throttled.phase != phaseRunning {
+		return
+	}
+	members := throttled.members
+	owner.start(func(ctx context.Context) { owner.manager.Throttle(ctx, members, decision.Percent) })
+}
+
+// review looks at the members of a running gang and ends the gang when one has ended early.
+func (owner *owner) review(job *job) {
+	if job.phase != phaseRunning {
+		return
+	}
+	states := make([]workerv1.TaskState, len(job.members))
+	active, saved, broken := 0, 0, 0
+	for i, member := range job.members {
+		lease, ok := owner.manager.Lease(member.Worker, member.Lease)
+		states[i] = lease.State
+		switch {
+		case job.gone[member.Lease]:
+			broken++
+		case !ok || lease.Active():
+			active++
+		case lease.State == workerv1.TaskState_TASK_STATE_CHECKPOINTED:
+			saved++
+		case lease.State != workerv1.TaskState_TASK_STATE_COMPLETED:
+			broken++
+		}
+	}
+	switch {
+	case active == 0:
+		owner.ended(job, states)
+	case broken > 0 || saved > 0 && !job.checkpointing:
+		owner.stopGang(job)
+	}
+}
+
+// stopGang stops every member and takes the end of the attempt once each is confirmed to have ended.
+func (owner *owner) stopGang(job *job) {
+	job.phase = phaseEnding
+	members := job.members
+	attempt := job.record.Attempt
+	owner.start(func(ctx context.Context) {
+		states, err := owner.manager.StopGang(ctx, members)
+		if err != nil {
+			return
+		}
+		owner.post(func() {
+			if owner.jobs[job.record.Key()] == job && job.phase == phaseEnding && job.record.Attempt == attempt {
+				owner.ended(job, states)
+			}
+		})
+	})
+}
+
+// judge returns how an attempt ended by the states of its members, and the workers at fault.
+func judge(members []worker.Member, states []workerv1.TaskState) (scheduler.EndResult, []fleet.WorkerID) {
+	counts := make(map[workerv1.TaskState]int)
+	var failed, lost []fleet.WorkerID
+	for i, state := range states {
+		counts[state]++
+		switch state {
+		case workerv1.TaskState_TASK_STATE_FAILED:
+			failed = append(failed, members[i].Worker)
+		case workerv1.TaskState_TASK_STATE_UNSPECIFIED, workerv1.TaskState_TASK_STATE_LAPSED:
+			lost = append(lost, members[i].Worker)
+		}
+	}
+	switch {
+	case counts[workerv1.TaskState_TASK_STATE_COMPLETED] == len(states):
+		return scheduler.EndCompleted, nil
+	case len(failed) > 0:
+		return scheduler.EndFailed, failed
+	case counts[workerv1.TaskState_TASK_STATE_CHECKPOINTED] == len(states):
+		return scheduler.EndCheckpointed, nil
+	case len(lost) > 0:
+		return scheduler.EndLost, lost
+	default:
+		return scheduler.EndStopped, nil
+	}
+}
+
+// ended takes the end of an attempt of which a member may have run; every member has ended.
+func (owner *owner) ended(job *job, states []workerv1.TaskState) {
+	result, failed := judge(job.members, states)
+	used := owner.used(job)
+	record := &job.record
+	record.Begun = record.Attempt
+	record.Used += used
+	record.State = StateQueued
+	if result == scheduler.EndCheckpointed {
+		record.Checkpointed = record.Attempt
+	}
+	job.hasEnded, job.lastEnd = true, result
+	job.failed = job.failed || result == scheduler.EndFailed
+	job.phase = phaseQueued
+	owner.logger.Info("attempt ended", "job", record.Job, "organisation", record.Organisation,
+		"attempt", record.Attempt, "states", fmt.Sprint(states), "at_fault", failed)
+	if job.finish != nil {
+		owner.finishJob(*job.finish)
+		return
+	}
+	if !job.inCore {
+		owner.conclude(job, result)
+		return
+	}
+	owner.core.Apply(time.Now(), scheduler.GangEnded{
+		Key: record.Key(), Attempt: job.coreAttempt, Result: result, Failed: failed, Used: used,
+	})
+	owner.tellFreeOf(job.members)
+	if !record.Profile.Idempotent || result == scheduler.EndCheckpointed {
+		owner.saveLater(job)
+	}
+}
+
+// used returns the accelerator time of the attempt as far as the workers have reported it.
+func (owner *owner) used(job *job) fleet.AcceleratorTime {
+	var used fleet.AcceleratorTime
+	for _, member := range job.members {
+		if lease, ok := owner.manager.Lease(member.Worker, member.Lease); ok {
+			used += lease.Used
+		}
+	}
+	return used
+}
+
+// finishJob ends a job as the core decided. A gang that still holds something is stopped first.
+func (owner *owner) finishJob(decision scheduler.Finish) {
+	finished := owner.jobs[decision.Key]
+	if finished == nil {
+		return
+	}
+	if !finished.inCore && finished.finish == nil {
+		finished.leftCore = time.Time{}
+		return
+	}
+	finished.finish = &decision
+	switch finished.phase {
+	case phaseStarting:
+		finished.evicted = true
+	case phaseRunning:
+		owner.stopGang(finished)
+	case phaseQueued:
+		finished.inCore = false
+		owner.end(finished, decision.Verdict, decision.Kind, decision.Reason)
+	}
+}
+
+// outcome returns what a caller may be told for a verdict, by what is known of the attempts.
+func (job *job) outcome(verdict scheduler.Verdict) callerv1.Outcome {
+	never := job.record.Begun == 0
+	completed := job.hasEnded && job.lastEnd == scheduler.EndCompleted
+	switch {
+	case completed:
+		return callerv1.Outcome_OUTCOME_COMPLETED
+	case verdict == scheduler.VerdictCancelled:
+		return callerv1.Outcome_OUTCOME_CANCELLED
+	case verdict == scheduler.VerdictFailed && job.failed:
+		return callerv1.Outcome_OUTCOME_FAILED
+	case (verdict == scheduler.VerdictNotRun || verdict == scheduler.VerdictFailed) && never:
+		return callerv1.Outcome_OUTCOME_NOT_RUN
+	default:
+		return callerv1.Outcome_OUTCOME_UNKNOWN
+	}
+}
+
+// end makes the outcome of a job final and has it written.
+func (owner *owner) end(job *job, verdict scheduler.Verdict, kind fault.Kind, reason string) {
+	record := &job.record
+	outcome := job.outcome(verdict)
+	record.State = StateEnded
+	record.Outcome = outcome.String()
+	record.Kind = kind
+	record.Reason = reason
+	record.Ended = time.Now().UTC()
+	job.phase = phaseDone
+	job.inCore = false
+	owner.service.count("jobs_ended_"+outcomeName(outcome), 1)
+	owner.logger.Info("job ended", "job", record.Job, "organisation", record.Organisation,
+		"attempt", record.Attempt, "outcome", outcomeName(outcome), "kind", kind, "reason", reason)
+	owner.saveLater(job)
+}
+
+// endUnrepeatable ends a non-idempotent job whose last attempt may have run and cannot be continued.
+func (owner *owner) endUnrepeatable(job *job) {
+	if job.failed {
+		owner.end(job, scheduler.VerdictFailed, fault.TargetFailed, "a member failed, and the job is not idempotent")
+		return
+	}
+	owner.end(job, scheduler.VerdictUnknown, fault.AnswerLost, "an attempt ran and was lost, and the job is not idempotent")
+}
+
+// conclude ends or requeues a job that the core does not hold, after an attempt.
+func (owner *owner) conclude(job *job, result scheduler.EndResult) {
+	switch {
+	case result == scheduler.EndCompleted:
+		owner.end(job, scheduler.VerdictCompleted, "", "")
+	case job.record.CancelRequested:
+		owner.end(job, scheduler.VerdictCancelled, "", "cancelled")
+	case !job.record.mayRunAgain():
+		owner.endUnrepeatable(job)
+	default:
+		owner.enqueue(job)
+		if !job.record.Profile.Idempotent || result == scheduler.EndCheckpointed {
+			owner.saveLater(job)
+		}
+	}
+}
+
+// finished forgets a job whose end is in the store.
+func (owner *owner) finished(job *job) {
+	for _, lease := range owner.manager.LeasesOf(job.record.Key()) {
+		owner.manager.Forget(lease.Worker, lease.ID)
+	}
+	for _, member := range append(job.old, job.members...) {
+		owner.manager.Forget(member.Worker, member.Lease)
+	}
+	owner.removeJob(job)
+}
+
+// cancel notes a cancellation and passes it to the core. It reports false for a job not known here. Done is called
+// once the cancellation or the end of the job has been written, or the store has failed to.
+func (owner *owner) cancel(key fleet.JobKey, done func()) bool {
+	cancelled := owner.jobs[key]
+	if cancelled == nil {
+		return false
+	}
+	repeated := cancelled.record.CancelRequested || cancelled.phase == phaseDone
+	if repeated && !cancelled.saving && !owner.unsaved[key] {
+		done()
+		return true
+	}
+	cancelled.waiting = append(cancelled.waiting, func(saveResult) { done() })
+	if repeated {
+		return true
+	}
+	cancelled.record.CancelRequested = true
+	owner.service.count("cancellations", 1)
+	switch {
+	case cancelled.phase == phaseParked:
+		delete(owner.parked, key)
+		owner.end(cancelled, scheduler.VerdictCancelled, "", "cancelled")
+	case cancelled.phase == phaseQueued && owner.settled:
+		owner.core.Apply(time.Now(), scheduler.JobCancelled{Key: key})
+		owner.saveLater(cancelled)
+	default:
+		// The mark comes first: a new owner that finds the gang stopped must not start it again.
+		owner.save(cancelled, func(saveResult) {
+			if cancelled.inCore {
+				owner.core.Apply(time.Now(), scheduler.JobCancelled{Key: key})
+			}
+		})
+	}
+	return true
+}
+
+func outcomeName(outcome callerv1.Outcome) string {
+	name := outcome.String()
+	return name[len("OUTCOME_"):]
+}
--- /dev/null
+++ b/internal/domain/fakes_test.go
@@ -0,0 +1,395 @@
+package domain
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/internal/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1/peerv1connect"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+// memory is an in-memory store. Its faults hold for all processes.
+type memory struct {
+	mutex    sync.Mutex
+	entries  map[string]platform.Entry
+	revision platform.StoreRevision
+	log      []platform.Change
+	changed  chan struct{}
+	down     bool
+	// lose is the number of coming writes whose answers are lost after they took effect.
+	lose int
+}
+
+func newMemory() *memory {
+	return &memory{entries: make(map[string]platform.Entry), changed: make(chan struct{})}
+}
+
+func (store *memory) setDown(down bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.down = down
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+func (store *memory) loseAnswers(count int) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.lose = count
+}
+
+func (store *memory) swap(key string, value []byte, expected platform.StoreRevision) (platform.StoreRevision, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.down {
+		return 0, platform.ErrUnavailable
+	}
+	if store.entries[key].Revision != expected {
+		return 0, platform.ErrConflict
+	}
+	store.revision++
+	store.entries[key] = platform.Entry{Key: key, Value: value, Revision: store.revision}
+	store.append(platform.Change{Entry: store.entries[key]})
+	if store.lose > 0 {
+		store.lose--
+		return 0, platform.ErrOutcomeUnknown
+	}
+	return store.revision, nil
+}
+
+func (store *memory) append(change platform.Change) {
+	store.log = append(store.log, change)
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+// storeLink is one process's connection to the store.
+type storeLink struct {
+	store   *memory
+	process *process
+	mutex   sync.Mutex
+	healthy bool
+}
+
+// pass waits while the process is paused and fails when it is dead.
+func (link *storeLink) pass(ctx context.Context) error {
+	if err := link.process.pass(ctx); err != nil {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (link *storeLink) note(err error) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	link.healthy = err == nil || err == platform.ErrConflict || err == platform.ErrNotFound
+}
+
+func (link *storeLink) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := link.pass(ctx); err != nil {
+		return platform.Entry{}, err
+	}
+	link.store.mutex.Lock()
+	defer link.store.mutex.Unlock()
+	entry, ok := link.store.entries[key]
+	var err error
+	if link.store.down {
+		err = platform.ErrUnavailable
+	} else if !ok {
+		err = platform.ErrNotFound
+	}
+	link.note(err)
+	return entry, err
+}
+
+func (link *storeLink) List(context.Context, string) ([]platform.Entry, error) { return nil, nil }
+
+func (link *storeLink) Swap(ctx context.Context, key string, value []byte, expected platform.StoreRevision) (platform.StoreRevision, error) {
+	if err := link.pass(ctx); err != nil {
+		return 0, err
+	}
+	revision, err := link.store.swap(key, value, expected)
+	link.note(err)
+	link.process.step("swap")
+	return revision, err
+}
+
+func (link *storeLink) Delete(ctx context.Context, key string, expected platform.StoreRevision) error {
+	if err := link.pass(ctx); err != nil {
+		return err
+	}
+	link.store.mutex.Lock()
+	defer link.store.mutex.Unlock()
+	if link.store.entries[key].Revision != expected {
+		return platform.ErrConflict
+	}
+	link.store.append(platform.Change{Entry: link.store.entries[key], Deleted: true})
+	delete(link.store.entries, key)
+	return nil
+}
+
+func (link *storeLink) Watch(ctx context.Context, prefix string, deliver func(platform.Change)) {
+	for ctx.Err() == nil {
+		link.read(ctx, prefix, deliver)
+		sleep(ctx, time.Second)
+	}
+}
+
+// read delivers everything once and then the changes until the store goes down.
+func (link *storeLink) read(ctx context.Context, prefix string, deliver func(platform.Change)) {
+	store := link.store
+	store.mutex.Lock()
+	position := len(store.log)
+	var entries []platform.Entry
+	for key, entry := range store.entries {
+		if strings.HasPrefix(key, prefix) {
+			entries = append(entries, entry)
+		}
+	}
+	down := store.down
+	store.mutex.Unlock()
+	if down || link.pass(ctx) != nil {
+		return
+	}
+	for _, entry := range entries {
+		deliver(platform.Change{Entry: entry})
+	}
+	deliver(platform.Change{Current: true})
+	for ctx.Err() == nil {
+		store.mutex.Lock()
+		changes := store.log[position:]
+		position = len(store.log)
+		changed, down := store.changed, store.down
+		store.mutex.Unlock()
+		if link.pass(ctx) != nil {
+			return
+		}
+		for _, change := range changes {
+			deliver(change)
+		}
+		if down {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (link *storeLink) Healthy() bool {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.healthy
+}
+
+// workerLink is one process's connection to a worker.
+type workerLink struct {
+	worker  *standin.Worker
+	process *process
+}
+
+func through[Q, A any](ctx context.Context, link workerLink, step string, request Q, call func(context.Context, Q) (*A, error)) (*A, error) {
+	if err := link.process.pass(ctx); err != nil {
+		return nil, err
+	}
+	answer, err := call(ctx, request)
+	link.process.step(step)
+	if dead := link.process.pass(ctx); dead != nil {
+		return nil, dead
+	}
+	return answer, err
+}
+
+func (link workerLink) Reserve(ctx context.Context, request *workerv1.ReserveRequest) (*workerv1.ReserveResponse, error) {
+	return through(ctx, link, "reserve", request, link.worker.Reserve)
+}
+
+func (link workerLink) Start(ctx context.Context, request *workerv1.StartRequest) (*workerv1.CommandResponse, error) {
+	return through(ctx, link, "start", request, link.worker.Start)
+}
+
+func (link workerLink) Release(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
+	return through(ctx, link, "release", request, link.worker.Release)
+}
+
+func (link workerLink) Stop(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
+	return through(ctx, link, "stop", request, link.worker.Stop)
+}
+
+func (link workerLink) Checkpoint(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
+	return through(ctx, link, "checkpoint", request, link.worker.Checkpoint)
+}
+
+func (link workerLink) Throttle(ctx context.Context, request *workerv1.ThrottleRequest) (*workerv1.CommandResponse, error) {
+	return through(ctx, link, "throttle", request, link.worker.Throttle)
+}
+
+func (link workerLink) Sync(ctx context.Context, request *workerv1.SyncRequest) (*workerv1.SyncResponse, error) {
+	return through(ctx, link, "sync", request, link.worker.Sync)
+}
+
+// process is one entry process.
+type process struct {
+	cluster *cluster
+	name    fleet.VMID
+	service *Service
+	stop    context.CancelFunc
+	ended   chan struct{}
+
+	mutex  sync.Mutex
+	dead   bool
+	paused chan struct{}
+	// counts holds the calls so far by kind; dieAt kills the process after one of them.
+	counts map[string]int
+	dieAt  string
+	dieOn  int
+}
+
+// pass waits while the process is paused and fails when it is dead.
+func (process *process) pass(ctx context.Context) error {
+	process.mutex.Lock()
+	paused, dead := process.paused, process.dead
+	process.mutex.Unlock()
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-ctx.Done():
+			<-paused // A paused process does not notice its timeouts either.
+			return ctx.Err()
+		}
+	}
+	if dead {
+		return fault.New(fault.OwnerUnavailable, "process is dead")
+	}
+	return nil
+}
+
+// step counts a call and kills the process when its time has come.
+func (process *process) step(kind string) {
+	process.mutex.Lock()
+	process.counts[kind]++
+	due := process.dieAt == kind && process.counts[kind] == process.dieOn
+	process.dead = process.dead || due
+	process.mutex.Unlock()
+	if due {
+		process.stop()
+	}
+}
+
+// dieAfter has the process die right after it has made the given number of further calls of a kind.
+func (process *process) dieAfter(kind string, calls int) {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	process.dieAt, process.dieOn = kind, process.counts[kind]+calls
+}
+
+// kill ends the process without a word.
+func (process *process) kill() {
+	process.mutex.Lock()
+	process.dead = true
+	process.mutex.Unlock()
+	process.stop()
+	<-process.ended
+}
+
+// pause stops the process and its loops for a time; its messages in flight are held back.
+func (process *process) pause(length time.Duration) {
+	resumed := make(chan struct{})
+	process.mutex.Lock()
+	process.paused = resumed
+	process.mutex.Unlock()
+	if owned := process.service.current(); owned != nil {
+		owned.post(func() { <-resumed })
+	}
+	go func() {
+		time.Sleep(length)
+		process.mutex.Lock()
+		process.paused = nil
+		process.mutex.Unlock()
+		close(resumed)
+	}()
+}
+
+func (process *process) alive() bool {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return !process.dead
+}
+
+// view is what a process believes of the others: it sees those of its own side that are alive.
+type view struct{ process *process }
+
+func (view view) Self() peer.Peer {
+	return peer.Peer{VM: fleet.EntryVM{ID: view.process.name, Region: "r"}}
+}
+
+func (view view) Live() []peer.Peer {
+	var live []peer.Peer
+	for _, other := range view.process.cluster.seenBy(view.process) {
+		if other != view.process {
+			live = append(live, peer.Peer{VM: fleet.EntryVM{ID: other.name, Region: "r"}, Client: peerLink{service: other.service}})
+		}
+	}
+	return live
+}
+
+func (view view) Owner(fleet.RegionID) (peer.Peer, bool) {
+	for _, other := range view.process.cluster.seenBy(view.process) {
+		return peer.Peer{VM: fleet.EntryVM{ID: other.name, Region: "r"}, Client: peerLink{service: other.service}}, true
+	}
+	return peer.Peer{}, false
+}
+
+func (view view) OwnSeat() (peer.Seat, time.Time, bool)  { return peer.NoSeat, time.Time{}, false }
+func (view view) SeatHolder(peer.Seat) (peer.Peer, bool) { return peer.Peer{}, false }
+func (view view) Seats() int                             { return 0 }
+
+// peerLink calls another process directly.
+type peerLink struct {
+	peerv1connect.PeerServiceClient
+	service *Service
+}
+
+func direct[Q, A any](ctx context.Context, request *connect.Request[Q], call func(context.Context, *Q) (*A, error)) (*connect.Response[A], error) {
+	answer, err := call(ctx, request.Msg)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(answer), nil
+}
+
+func (link peerLink) SubmitJob(ctx context.Context, request *connect.Request[peerv1.SubmitJobRequest]) (*connect.Response[peerv1.SubmitJobResponse], error) {
+	return direct(ctx, request, link.service.SubmitJob)
+}
+
+func (link peerLink) CancelJob(ctx context.Context, request *connect.Request[peerv1.CancelJobRequest]) (*connect.Response[peerv1.CancelJobResponse], error) {
+	return direct(ctx, request, link.service.CancelJob)
+}
+
+func (link peerLink) ExplainJob(ctx context.Context, request *connect.Request[peerv1.ExplainJobRequest]) (*connect.Response[peerv1.ExplainJobResponse], error) {
+	return direct(ctx, request, link.service.ExplainJob)
+}
+
+func (link peerLink) JobEnds(ctx context.Context, request *connect.Request[peerv1.JobEndsRequest]) (*connect.Response[peerv1.JobEndsResponse], error) {
+	return direct(ctx, request, link.service.JobEnds)
+}
+
+// fixedConfig is a configuration that never changes.
+type fixedConfig struct{ config *profile.Config }
+
+func (fixed fixedConfig) Current() *profile.Config { return fixed.config }
+
+var _ worker.Client = workerLink{}
--- /dev/null
+++ b/internal/domain/fifo_test.go
@@ -0,0 +1,194 @@
+package domain
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// fifoJob is a job as the fake scheduler sees it.
+type fifoJob struct {
+	job       scheduler.Job
+	attempt   fleet.Attempt
+	members   []scheduler.Member
+	placed    bool
+	cancelled bool
+	failedOn  map[fleet.WorkerID]bool
+	notBefore time.Time
+}
+
+// fifo is a scheduler that places the first job that fits, first-fit.
+type fifo struct {
+	order    []fleet.JobKey
+	jobs     map[fleet.JobKey]*fifoJob
+	workers  []fleet.Worker
+	foreign  map[fleet.WorkerID]fleet.Accelerators
+	lost     map[fleet.WorkerID]bool
+	busy     map[fleet.WorkerID]bool
+	decided  []scheduler.Decision
+	nextWake time.Time
+}
+
+func newFIFO() scheduler.Scheduler {
+	return &fifo{
+		jobs:    make(map[fleet.JobKey]*fifoJob),
+		foreign: make(map[fleet.WorkerID]fleet.Accelerators),
+		lost:    make(map[fleet.WorkerID]bool),
+		busy:    make(map[fleet.WorkerID]bool),
+	}
+}
+
+func (core *fifo) Apply(now time.Time, event scheduler.Event) {
+	switch event := event.(type) {
+	case scheduler.FleetChanged:
+		core.workers = event.Workers
+	case scheduler.JobSubmitted:
+		core.add(event.Job)
+	case scheduler.GangRecovered:
+		core.add(event.Job)
+		known := core.jobs[event.Job.Key]
+		known.placed, known.attempt, known.members = true, event.Attempt, event.Members
+	case scheduler.JobCancelled:
+		core.cancel(event.Key)
+	case scheduler.PlaceFailed:
+		for _, id := range event.Busy {
+			core.busy[id] = true
+		}
+		core.requeue(event.Key, now.Add(100*time.Millisecond))
+	case scheduler.GangEnded:
+		core.ended(now, event)
+	case scheduler.WorkerLost:
+		core.lost[event.Worker] = true
+	case scheduler.WorkerFound:
+		delete(core.lost, event.Worker)
+		delete(core.busy, event.Worker)
+		core.foreign[event.Worker] = event.Foreign
+	}
+}
+
+func (core *fifo) add(job scheduler.Job) {
+	core.jobs[job.Key] = &fifoJob{job: job, attempt: job.Attempts, failedOn: make(map[fleet.WorkerID]bool)}
+	core.order = append(core.order, job.Key)
+}
+
+func (core *fifo) cancel(key fleet.JobKey) {
+	known := core.jobs[key]
+	if known == nil {
+		return
+	}
+	known.cancelled = true
+	if !known.placed {
+		core.finish(key, scheduler.VerdictCancelled, "")
+		return
+	}
+	core.decided = append(core.decided, scheduler.Evict{Key: key, Attempt: known.attempt, Step: scheduler.EvictStop, Reason: "cancelled"})
+}
+
+func (core *fifo) requeue(key fleet.JobKey, notBefore time.Time) {
+	known := core.jobs[key]
+	if known == nil {
+		return
+	}
+	known.placed, known.members, known.notBefore = false, nil, notBefore
+	if known.cancelled {
+		core.finish(key, scheduler.VerdictCancelled, "")
+	}
+}
+
+func (core *fifo) ended(now time.Time, event scheduler.GangEnded) {
+	known := core.jobs[event.Key]
+	if known == nil {
+		return
+	}
+	for _, id := range event.Failed {
+		known.failedOn[id] = true
+	}
+	again := known.job.Profile.Idempotent
+	switch {
+	case event.Result == scheduler.EndCompleted:
+		core.finish(event.Key, scheduler.VerdictCompleted, "")
+	case known.cancelled:
+		core.finish(event.Key, scheduler.VerdictCancelled, "")
+	case event.Result == scheduler.EndFailed && (!again || len(known.failedOn) >= 3):
+		core.finish(event.Key, scheduler.VerdictFailed, fault.TargetFailed)
+	case event.Result == scheduler.EndCheckpointed || again:
+		core.requeue(event.Key, now)
+	default:
+		core.finish(event.Key, scheduler.VerdictUnknown, fault.AnswerLost)
+	}
+}
+
+func (core *fifo) finish(key fleet.JobKey, verdict scheduler.Verdict, kind fault.Kind) {
+	delete(core.jobs, key)
+	core.order = slices.DeleteFunc(core.order, func(other fleet.JobKey) bool { return other == key })
+	core.decided = append(core.decided, scheduler.Finish{Key: key, Verdict: verdict, Kind: kind})
+}
+
+func (core *fifo) Decide(now time.Time) []scheduler.Decision {
+	core.nextWake = time.Time{}
+	for _, key := range core.order {
+		core.try(now, core.jobs[key])
+	}
+	decided := core.decided
+	core.decided = nil
+	return decided
+}
+
+func (core *fifo) try(now time.Time, known *fifoJob) {
+	if known.placed {
+		return
+	}
+	if now.Before(known.notBefore) {
+		core.nextWake = known.notBefore
+		return
+	}
+	members := core.fit(known)
+	if members == nil {
+		return
+	}
+	known.placed, known.members = true, members
+	known.attempt++
+	core.decided = append(core.decided, scheduler.Place{Job: known.job, Attempt: known.attempt, Members: members})
+}
+
+// fit returns members on the first workers with room, avoiding those on which the job failed.
+func (core *fifo) fit(known *fifoJob) []scheduler.Member {
+	used := make(map[fleet.WorkerID]fleet.Accelerators)
+	for _, other := range core.jobs {
+		for _, member := range other.members {
+			used[member.Worker] += member.Accelerators
+		}
+	}
+	shape := *known.job.Profile.Shape
+	var members []scheduler.Member
+	for _, machine := range core.workers {
+		if core.lost[machine.ID] || core.busy[machine.ID] || known.failedOn[machine.ID] || machine.Leaving {
+			continue
+		}
+		free := machine.Accelerators - core.foreign[machine.ID] - used[machine.ID]
+		for free >= shape.Accelerators && len(members) < shape.Members {
+			free -= shape.Accelerators
+			members = append(members, scheduler.Member{Worker: machine.ID, Accelerators: shape.Accelerators})
+		}
+	}
+	if len(members) < shape.Members {
+		return nil
+	}
+	return members
+}
+
+func (core *fifo) NextWake() time.Time { return core.nextWake }
+
+func (core *fifo) Admit(_ time.Time, job scheduler.Job) *fault.Error {
+	if len(core.jobs) >= job.Profile.Limits.MaxWaiting {
+		return fault.New(fault.QueueFull, "queue is full")
+	}
+	return nil
+}
+
+func (core *fifo) Explain(fleet.JobKey) []string                     { return []string{"waits for free accelerators"} }
+func (core *fifo) ExplainOrganisation(fleet.OrganisationID) []string { return nil }
+func (core *fifo) Dump() any                                         { return len(core.jobs) }
--- /dev/null
+++ b/internal/domain/front.go
@@ -0,0 +1,211 @@
+package domain
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+const (
+	// ownerRetryAfter is when a caller may come back while no owner takes jobs.
+	ownerRetryAfter = time.Second
+	// explainTimeout bounds the wait for the owner's explanation in a status.
+	explainTimeout = 500 * time.Millisecond
+	// lookAgain is the time between two readings of a record whose creation is in doubt.
+	lookAgain = 200 * time.Millisecond
+)
+
+// Submit accepts a job. The job is accepted when its record is in the store.
+func (service *Service) Submit(ctx context.Context, id fleet.OrganisationID, request *callerv1.SubmitRequest) (*callerv1.SubmitResponse, error) {
+	if !service.enter() {
+		return nil, service.refuse(fault.New(fault.Draining, "the process is stopping"))
+	}
+	defer service.calls.Done()
+	config := service.Configs.Current()
+	if config == nil {
+		return nil, service.refuse(fault.New(fault.Starting, "no configuration yet"))
+	}
+	wanted, ok := config.Lookup(id, fleet.ProfileName(request.Profile))
+	if !ok {
+		return nil, service.refuse(fault.New(fault.UnknownProfile, "no profile %q", request.Profile).WithField("profile"))
+	}
+	if !wanted.IsJob() {
+		return nil, service.refuse(fault.New(fault.InvalidArgument, "profile %q is for requests, not jobs", request.Profile).WithField("profile"))
+	}
+	key := fleet.JobKey{Organisation: id, Job: fleet.JobID(request.JobId)}
+	if _, ok := service.copies.get(key); ok {
+		return &callerv1.SubmitResponse{JobId: request.JobId, Duplicate: true}, nil
+	}
+	response, err := service.submitToOwner(ctx, key, &peerv1.SubmitJobRequest{
+		Organisation:   string(id),
+		Job:            request,
+		ConfigRevision: int64(config.Revision),
+	})
+	if err != nil {
+		return nil, service.refuse(fault.Of(err))
+	}
+	if response.Kind != "" {
+		refusal := fault.New(fault.Kind(response.Kind), "%s", response.Reason)
+		return nil, service.refuse(refusal.WithRetryAfter(time.Duration(response.RetryAfterMs) * time.Millisecond))
+	}
+	return &callerv1.SubmitResponse{JobId: request.JobId, Duplicate: response.Duplicate}, nil
+}
+
+// submitToOwner hands a job to the owner, which may be this process.
+func (service *Service) submitToOwner(ctx context.Context, key fleet.JobKey, request *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	holder, ok := service.View.Owner(service.domain())
+	if !ok {
+		return nil, fault.New(fault.OwnerUnavailable, "domain %s has no owner", service.domain()).WithRetryAfter(ownerRetryAfter)
+	}
+	if service.isSelf(holder) {
+		return service.SubmitJob(ctx, request)
+	}
+	response, err := holder.Client.SubmitJob(ctx, connect.NewRequest(request))
+	if err == nil {
+		return response.Msg, nil
+	}
+	if neverSent(err) {
+		return nil, fault.New(fault.OwnerUnavailable, "owner of domain %s cannot be reached", service.domain()).WithRetryAfter(ownerRetryAfter)
+	}
+	return service.findCreated(ctx, key, err)
+}
+
+// findCreated looks for the record of a job whose owner did not answer.
+func (service *Service) findCreated(ctx context.Context, key fleet.JobKey, cause error) (*peerv1.SubmitJobResponse, error) {
+	for ctx.Err() == nil {
+		if _, err := service.Store.Get(ctx, recordKey(key)); err == nil {
+			return &peerv1.SubmitJobResponse{}, nil
+		} else if !errors.Is(err, platform.ErrNotFound) {
+			break
+		}
+		sleep(ctx, lookAgain)
+	}
+	return nil, fault.New(fault.AnswerLost, "owner of domain %s did not answer: %v", service.domain(), cause)
+}
+
+// neverSent reports whether an error proves that no connection was established.
+func neverSent(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
+func (service *Service) isSelf(holder peer.Peer) bool {
+	return holder.VM.ID == service.View.Self().VM.ID
+}
+
+// Status tells what is known of a job: the end as soon as it is durable, else what the owner says.
+func (service *Service) Status(ctx context.Context, key fleet.JobKey) (*callerv1.StatusResponse, error) {
+	record, err := service.find(ctx, key)
+	if err != nil {
+		return nil, service.refuse(fault.Of(err))
+	}
+	response := record.status()
+	if record.State == StateEnded {
+		return response, nil
+	}
+	lines, err := service.explain(ctx, record.Domain, key)
+	if err != nil || len(lines) == 0 {
+		response.Reason = "owner of domain " + string(record.Domain) + " cannot be asked"
+		return response, nil
+	}
+	response.State = lines[0]
+	if len(lines) > 1 {
+		response.Reason = lines[1]
+	}
+	return response, nil
+}
+
+// find returns the record of a job from the ends not yet written, the copies or the store.
+func (service *Service) find(ctx context.Context, key fleet.JobKey) (*Record, error) {
+	service.mutex.Lock()
+	ended, ok := service.ends[key]
+	service.mutex.Unlock()
+	if ok {
+		return ended, nil
+	}
+	if held, ok := service.copies.get(key); ok {
+		return held.record, nil
+	}
+	entry, err := service.Store.Get(ctx, recordKey(key))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, fault.New(fault.NotFound, "no job %s", key)
+	}
+	if err != nil {
+		return nil, fault.New(fault.StoreUnavailable, "job %s is not among the copies and the store does not answer", key).WithRetryAfter(ownerRetryAfter)
+	}
+	record, err := decodeRecord(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	service.copies.put(record, entry.Revision)
+	return record, nil
+}
+
+// explain returns the state of a job and then the reasons for it, as the owner tells them.
+func (service *Service) explain(ctx context.Context, domain fleet.RegionID, key fleet.JobKey) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	holder, ok := service.View.Owner(domain)
+	if !ok {
+		return nil, fault.New(fault.OwnerUnavailable, "domain %s has no owner", domain)
+	}
+	request := &peerv1.ExplainJobRequest{Organisation: string(key.Organisation), JobId: string(key.Job)}
+	if service.isSelf(holder) {
+		response, err := service.ExplainJob(ctx, request)
+		return response.GetLines(), err
+	}
+	response, err := holder.Client.ExplainJob(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, errors.Wrap(err, "owner")
+	}
+	return response.Msg.Lines, nil
+}
+
+// Cancel asks for the end of a job. The outcome is PENDING until every member is confirmed stopped.
+func (service *Service) Cancel(ctx context.Context, key fleet.JobKey) (callerv1.Outcome, error) {
+	if !service.enter() {
+		return callerv1.Outcome_OUTCOME_UNSPECIFIED, service.refuse(fault.New(fault.Draining, "the process is stopping"))
+	}
+	defer service.calls.Done()
+	record, err := service.find(ctx, key)
+	if err != nil {
+		return callerv1.Outcome_OUTCOME_UNSPECIFIED, service.refuse(fault.Of(err))
+	}
+	if record.State == StateEnded {
+		return record.outcome(), nil
+	}
+	response, err := service.cancelAtOwner(ctx, record.Domain, key)
+	if err != nil {
+		return callerv1.Outcome_OUTCOME_UNSPECIFIED, service.refuse(fault.Of(err))
+	}
+	if response.Kind != "" {
+		return callerv1.Outcome_OUTCOME_UNSPECIFIED, service.refuse(fault.New(fault.Kind(response.Kind), "%s", response.Reason))
+	}
+	return response.Outcome, nil
+}
+
+func (service *Service) cancelAtOwner(ctx context.Context, domain fleet.RegionID, key fleet.JobKey) (*peerv1.CancelJobResponse, error) {
+	holder, ok := service.View.Owner(domain)
+	if !ok {
+		return nil, fault.New(fault.OwnerUnavailable, "domain %s has no owner", domain).WithRetryAfter(ownerRetryAfter)
+	}
+	request := &peerv1.CancelJobRequest{Organisation: string(key.Organisation), JobId: string(key.Job)}
+	if service.isSelf(holder) {
+		return service.CancelJob(ctx, request)
+	}
+	response, err := holder.Client.CancelJob(ctx, connect.NewRequest(request))
+	if err != nil {
+		return nil, fault.New(fault.OwnerUnavailable, "owner of domain %s did not answer", domain).WithRetryAfter(ownerRetryAfter)
+	}
+	return response.Msg, nil
+}
--- /dev/null
+++ b/internal/domain/job.go
@@ -0,0 +1,172 @@
+package domain
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	"github.com/quetzalstall/quetzalstall/internal/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// phase is where the owner is with a job.
+type phase int
+
+const (
+	// phaseRecovering means that it is not known yet whether an attempt runs.
+	phaseRecovering phase = iota
+	// phaseQueued means that no attempt runs and that the core holds the job.
+	phaseQueued
+	// phaseStarting means that the attempt is being recorded, reserved and started.
+	phaseStarting
+	// phaseRunning means that every member acknowledged its start.
+	phaseRunning
+	// phaseEnding means that the members are being stopped.
+	phaseEnding
+	// phaseParked means that no attempt runs and that the job waits for the store.
+	phaseParked
+	// phaseDone means that the outcome is final and is being written.
+	phaseDone
+)
+
+// String returns the state that a caller is told.
+func (phase phase) String() string {
+	switch phase {
+	case phaseQueued, phaseParked:
+		return "queued"
+	case phaseRunning:
+		return "running"
+	case phaseEnding, phaseDone:
+		return "stopping"
+	default:
+		return "starting"
+	}
+}
+
+// job is what the owner knows of one job that has not ended.
+type job struct {
+	// record is what the store is to hold. Its slices are replaced, never changed.
+	record Record
+	// revision is that of the last write known to be in the store.
+	revision platform.StoreRevision
+	phase    phase
+	// inCore is true while the core holds the job; coreAttempt is the core's number of the attempt under way.
+	inCore      bool
+	coreAttempt fleet.Attempt
+	// leftCore is when the core was told to forget the job; its Finish is awaited and ignored. Zero if it is not.
+	leftCore time.Time
+	// since is when the recovery began.
+	since time.Time
+	// members are those of the attempt under way or of the last one.
+	members []worker.Member
+	// old are members of ended attempts whose log entries are kept until the record has moved on.
+	old []worker.Member
+	// gone holds the leases that their workers no longer know.
+	gone          map[fleet.LeaseID]bool
+	unrecorded    bool
+	checkpointing bool
+	// evicted is true when an eviction came while the gang was starting.
+	evicted bool
+	// hasEnded is true once an attempt has ended; lastEnd tells how.
+	hasEnded bool
+	lastEnd  scheduler.EndResult
+	// failed is true once a member has reported a failure of its own.
+	failed bool
+	// finish is a verdict that waits until the gang has been stopped.
+	finish *scheduler.Finish
+
+	// saving is true while a write is in progress; waiting holds what follows the next one.
+	saving  bool
+	waiting []func(saveResult)
+	// doubtful holds the ids of writes whose effect is not known.
+	doubtful map[string]bool
+	retryAt  time.Time
+	retries  int
+	// told is true once the peers were told of the end.
+	told bool
+}
+
+func newJob(record *Record, revision platform.StoreRevision) *job {
+	added := &job{
+		record:   *record,
+		revision: revision,
+		gone:     make(map[fleet.LeaseID]bool),
+		doubtful: make(map[string]bool),
+	}
+	added.members = recordMembers(record)
+	return added
+}
+
+func recordMembers(record *Record) []worker.Member {
+	members := make([]worker.Member, len(record.Members))
+	for i, member := range record.Members {
+		members[i] = worker.Member(member)
+	}
+	return members
+}
+
+// hasMember reports whether a lease belongs to the attempt under way or the last one.
+func (job *job) hasMember(id fleet.LeaseID) bool {
+	for _, member := range job.members {
+		if member.Lease == id {
+			return true
+		}
+	}
+	return false
+}
+
+// holds reports whether the core counts the job's members as taken.
+func (job *job) holds() bool {
+	return job.inCore && (job.phase == phaseStarting || job.phase == phaseRunning || job.phase == phaseEnding)
+}
+
+// setMembers replaces the members and keeps the index of workers.
+func (owner *owner) setMembers(job *job, members []worker.Member) {
+	key := job.record.Key()
+	for _, member := range job.members {
+		delete(owner.byWorker[member.Worker], key)
+		if len(owner.byWorker[member.Worker]) == 0 {
+			delete(owner.byWorker, member.Worker)
+		}
+	}
+	job.members = members
+	for _, member := range members {
+		if owner.byWorker[member.Worker] == nil {
+			owner.byWorker[member.Worker] = make(map[fleet.JobKey]bool)
+		}
+		owner.byWorker[member.Worker][key] = true
+	}
+}
+
+// leaveCore makes the core forget a job. What the core then decides about it is ignored.
+func (owner *owner) leaveCore(job *job) {
+	if !job.inCore {
+		return
+	}
+	now := time.Now()
+	key := job.record.Key()
+	owner.core.Apply(now, scheduler.JobCancelled{Key: key})
+	switch job.phase {
+	case phaseStarting:
+		owner.core.Apply(now, scheduler.PlaceFailed{Key: key, Attempt: job.coreAttempt})
+	case phaseRunning, phaseEnding:
+		owner.core.Apply(now, scheduler.GangEnded{Key: key, Attempt: job.coreAttempt, Result: scheduler.EndStopped})
+	}
+	job.inCore = false
+	job.leftCore = now
+}
+
+// left reports whether the core has forgotten the job, or has had time enough to.
+func (job *job) left(now time.Time) bool {
+	return job.leftCore.IsZero() || now.Sub(job.leftCore) > leaveTimeout
+}
+
+// removeJob ends the owner's knowledge of a job.
+func (owner *owner) removeJob(job *job) {
+	key := job.record.Key()
+	owner.setMembers(job, nil)
+	delete(owner.jobs, key)
+	delete(owner.unsaved, key)
+	delete(owner.recovering, key)
+	delete(owner.parked, key)
+}
--- /dev/null
+++ b/internal/domain/record.go
@@ -0,0 +1,140 @@
+package domain
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// recordPrefix starts the store keys of job records.
+const recordPrefix = "jobs/"
+
+// State is the state of a job in its record.
+type State string
+
+const (
+	// StateQueued means that no attempt can be running.
+	StateQueued State = "queued"
+	// StateStarting means that the attempt of the record may be starting or running.
+	StateStarting State = "starting"
+	// StateEnded means that the outcome is final.
+	StateEnded State = "ended"
+)
+
+// Record is the job record in the store.
+type Record struct {
+	// WriteID is unique to each write, so that a lost answer is resolved by reading back.
+	WriteID      string               `json:"write_id"`
+	Organisation fleet.OrganisationID `json:"organisation"`
+	Job          fleet.JobID          `json:"job_id"`
+	Caller       fleet.CallerID       `json:"caller"`
+	Domain       fleet.RegionID       `json:"domain"`
+	// Profile is the one in force at submission.
+	Profile         profile.Profile `json:"profile"`
+	ConfigRevision  fleet.Revision  `json:"config_revision"`
+	Input           []byte          `json:"input,omitempty"`
+	DeclaredRunTime time.Duration   `json:"declared_run_time_ns,omitempty"`
+	Submitted       time.Time       `json:"submitted"`
+	State           State           `json:"state"`
+	// Attempt is the number of the last attempt; 0 before the first.
+	Attempt fleet.Attempt  `json:"attempt"`
+	Members []RecordMember `json:"members,omitempty"`
+	// Begun is the last attempt of which a member may have run; 0 is none. The attempt of a record in state
+	// starting may have begun whatever Begun says.
+	Begun fleet.Attempt `json:"begun_attempt,omitempty"`
+	// Checkpointed is the last attempt of which every member confirmed a checkpoint; 0 is none.
+	Checkpointed    fleet.Attempt         `json:"checkpointed_attempt,omitempty"`
+	CancelRequested bool                  `json:"cancel_requested,omitempty"`
+	Used            fleet.AcceleratorTime `json:"used_ns,omitempty"`
+	Outcome         string                `json:"outcome,omitempty"`
+	Kind            fault.Kind            `json:"kind,omitempty"`
+	Reason          string                `json:"reason,omitempty"`
+	Ended           time.Time             `json:"ended,omitzero"`
+}
+
+// RecordMember is one member of the attempt of a record.
+type RecordMember struct {
+	Worker       fleet.WorkerID     `json:"worker_id"`
+	Lease        fleet.LeaseID      `json:"lease_id"`
+	Accelerators fleet.Accelerators `json:"accelerators"`
+}
+
+// Key returns the key of the job.
+func (record *Record) Key() fleet.JobKey {
+	return fleet.JobKey{Organisation: record.Organisation, Job: record.Job}
+}
+
+// mayRunAgain reports whether another attempt cannot run the job a second time when that would do harm.
+func (record *Record) mayRunAgain() bool {
+	return record.Profile.Idempotent || record.Begun == 0 || record.Begun == record.Checkpointed
+}
+
+// outcome returns what a caller is told.
+func (record *Record) outcome() callerv1.Outcome {
+	if record.State != StateEnded {
+		return callerv1.Outcome_OUTCOME_PENDING
+	}
+	return callerv1.Outcome(callerv1.Outcome_value[record.Outcome])
+}
+
+// job returns what the scheduler needs to know.
+func (record *Record) job() scheduler.Job {
+	return scheduler.Job{
+		Key:             record.Key(),
+		Caller:          record.Caller,
+		Profile:         record.Profile,
+		Submitted:       record.Submitted,
+		DeclaredRunTime: record.DeclaredRunTime,
+		Attempts:        record.Attempt,
+		Used:            record.Used,
+	}
+}
+
+// status returns what a caller is told of the job by its record alone.
+func (record *Record) status() *callerv1.StatusResponse {
+	response := &callerv1.StatusResponse{
+		Outcome:      record.outcome(),
+		State:        string(record.State),
+		Reason:       record.Reason,
+		Attempts:     int32(record.Attempt),
+		AcceleratorS: time.Duration(record.Used).Seconds(),
+	}
+	for _, member := range record.Members {
+		response.Workers = append(response.Workers, string(member.Worker))
+	}
+	return response
+}
+
+// encode returns the stored form.
+func (record *Record) encode() ([]byte, error) {
+	text, err := json.Marshal(record)
+	return text, errors.Wrapf(err, "record of job %s", record.Key())
+}
+
+// decodeRecord reads the stored form.
+func decodeRecord(text []byte) (*Record, error) {
+	record := new(Record)
+	if err := json.Unmarshal(text, record); err != nil {
+		return nil, errors.Wrap(err, "job record")
+	}
+	return record, nil
+}
+
+// recordKey returns the store key of a job's record.
+func recordKey(key fleet.JobKey) string {
+	return recordPrefix + key.String()
+}
+
+// parseRecordKey returns the job of a store key.
+func parseRecordKey(text string) (fleet.JobKey, bool) {
+	organisation, job, ok := strings.Cut(strings.TrimPrefix(text, recordPrefix), "/")
+	return fleet.JobKey{Organisation: fleet.OrganisationID(organisation), Job: fleet.JobID(job)}, ok
+}
--- /dev/null
+++ b/internal/domain/recover.go
@@ -0,0 +1,289 @@
+package domain
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	"github.com/quetzalstall/quetzalstall/internal/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// found is one attempt as the record or the labels of leases tell of it.
+type found struct {
+	attempt    fleet.Attempt
+	owner      string
+	unrecorded bool
+	gang       int
+	members    []worker.Member
+}
+
+// recover finds out whether an attempt of a job runs. The wait of section 2.3 of the design begins now.
+func (owner *owner) recover(job *job) {
+	job.phase = phaseRecovering
+	job.since = time.Now()
+	job.finish = nil
+	owner.setMembers(job, recordMembers(&job.record))
+	owner.recovering[job.record.Key()] = true
+}
+
+// overtaken takes a record that another process has written.
+func (owner *owner) overtaken(job *job, record *Record, revision platform.StoreRevision) {
+	owner.service.count("records_overtaken", 1)
+	owner.logger.Warn("job record changed by another process", "job", record.Job, "organisation", record.Organisation,
+		"attempt", record.Attempt, "state", record.State)
+	owner.leaveCore(job)
+	owner.release(job)
+	delete(owner.unsaved, record.Key())
+	delete(owner.parked, record.Key())
+	job.doubtful = make(map[string]bool)
+	job.revision = revision
+	job.record = *record
+	if record.State == StateEnded {
+		owner.removeJob(job)
+		return
+	}
+	owner.recover(job)
+}
+
+// release ends the renewals of a job's leases, and has them judged as strays.
+func (owner *owner) release(job *job) {
+	job.phase = phaseDone
+	for _, member := range job.members {
+		endsBy, ok := owner.manager.EndsBy(member.Worker, member.Lease)
+		if !ok {
+			continue
+		}
+		owner.manager.Watch(member.Worker, member.Lease, endsBy)
+		owner.addStray(member.Worker, member.Lease, job.record.Key())
+	}
+}
+
+// recoverAll judges the jobs in recovery whose time has come.
+func (owner *owner) recoverAll(now time.Time) {
+	for key := range owner.recovering {
+		known := owner.jobs[key]
+		if known == nil || known.phase != phaseRecovering {
+			delete(owner.recovering, key)
+			continue
+		}
+		if known.left(now) {
+			owner.recoverOne(known, now)
+		}
+	}
+}
+
+// recoverOne keeps a complete gang that runs, at once. Anything else is judged once no command of a former owner
+// can take effect any more and each worker has answered or its lease must have ended.
+func (owner *owner) recoverOne(job *job, now time.Time) {
+	attempts := owner.findAttempts(job)
+	for _, attempt := range attempts {
+		if owner.isRunning(attempt) {
+			owner.adopt(job, attempt)
+			return
+		}
+	}
+	settled := now.Sub(job.since) >= owner.service.Timing.Settling()
+	if len(attempts) == 0 {
+		if settled && owner.settled {
+			delete(owner.recovering, job.record.Key())
+			owner.enqueue(job)
+		}
+		return
+	}
+	last := attempts[0]
+	states, active, known := owner.lookAt(job, last, now)
+	if !known || active > 0 && !settled {
+		return
+	}
+	delete(owner.recovering, job.record.Key())
+	owner.useAttempt(job, last)
+	if active == 0 {
+		owner.concludeAttempt(job, states)
+		return
+	}
+	for _, member := range last.members {
+		owner.manager.Watch(member.Worker, member.Lease, job.since.Add(owner.service.Timing.LeaseEnd()))
+	}
+	owner.stopGang(job)
+}
+
+// findAttempts returns the attempts of a job that may be running, the latest first: that of the record, and
+// those without a record that the labels of leases show.
+func (owner *owner) findAttempts(job *job) []found {
+	var attempts []found
+	for _, lease := range owner.manager.LeasesOf(job.record.Key()) {
+		attempt := fleet.Attempt(lease.Label.GetAttempt())
+		if attempt < job.record.Attempt || !lease.Label.GetUnrecorded() {
+			continue
+		}
+		attempts = addToAttempt(attempts, lease)
+	}
+	if job.record.State == StateStarting {
+		attempts = append(attempts, found{
+			attempt: job.record.Attempt,
+			gang:    len(job.record.Members),
+			members: recordMembers(&job.record),
+		})
+	}
+	return latestFirst(attempts)
+}
+
+// addToAttempt adds a lease to the attempt that its label names.
+func addToAttempt(attempts []found, lease worker.Lease) []found {
+	label := lease.Label
+	member := worker.Member{Worker: lease.Worker, Lease: lease.ID, Accelerators: lease.Accelerators}
+	for i := range attempts {
+		if attempts[i].attempt == fleet.Attempt(label.Attempt) && attempts[i].owner == label.Owner {
+			attempts[i].members = append(attempts[i].members, member)
+			return attempts
+		}
+	}
+	return append(attempts, found{
+		attempt:    fleet.Attempt(label.Attempt),
+		owner:      label.Owner,
+		unrecorded: true,
+		gang:       int(label.GangMembers),
+		members:    []worker.Member{member},
+	})
+}
+
+// latestFirst drops unrecorded attempts that the record has come to hold, and puts the latest attempt first.
+func latestFirst(attempts []found) []found {
+	var kept []found
+	for i, attempt := range attempts {
+		if i < len(attempts)-1 && attempt.unrecorded && sharesLease(attempt, attempts[len(attempts)-1]) {
+			continue
+		}
+		kept = append(kept, attempt)
+	}
+	for i := range kept {
+		if kept[i].attempt > kept[0].attempt {
+			kept[0], kept[i] = kept[i], kept[0]
+		}
+	}
+	return kept
+}
+
+func sharesLease(a, b found) bool {
+	for _, left := range a.members {
+		for _, right := range b.members {
+			if left.Lease == right.Lease {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isRunning reports whether every member runs or has completed, and at least one runs.
+func (owner *owner) isRunning(attempt found) bool {
+	if len(attempt.members) != attempt.gang {
+		return false
+	}
+	running := 0
+	for _, member := range attempt.members {
+		lease, _ := owner.manager.Lease(member.Worker, member.Lease)
+		switch lease.State {
+		case workerv1.TaskState_TASK_STATE_RUNNING, workerv1.TaskState_TASK_STATE_CHECKPOINTING:
+			running++
+		case workerv1.TaskState_TASK_STATE_COMPLETED:
+		default:
+			return false
+		}
+	}
+	return running > 0
+}
+
+// lookAt returns the states of an attempt's members, how many hold accelerators, and whether that is certain.
+func (owner *owner) lookAt(job *job, attempt found, now time.Time) (states []workerv1.TaskState, active int, known bool) {
+	timing := owner.service.Timing
+	quiet := job.since.Add(timing.Settling())
+	known = true
+	for _, member := range attempt.members {
+		lease, ok := owner.manager.Lease(member.Worker, member.Lease)
+		state := workerv1.TaskState_TASK_STATE_UNSPECIFIED
+		switch {
+		case ok && !lease.Active():
+			state = lease.State
+		case ok && owner.manager.Reachable(member.Worker):
+			state = lease.State
+			active++
+		case now.Sub(job.since) >= timing.LeaseEnd():
+		case !ok && owner.manager.SyncedSince(member.Worker, quiet):
+		default:
+			known = false
+		}
+		states = append(states, state)
+	}
+	return states, active, known
+}
+
+// useAttempt makes a found attempt that of the job.
+func (owner *owner) useAttempt(job *job, attempt found) {
+	job.record.Attempt = attempt.attempt
+	job.record.State = StateStarting
+	job.record.Members = nil
+	for _, member := range attempt.members {
+		job.record.Members = append(job.record.Members, RecordMember(member))
+	}
+	job.unrecorded = attempt.unrecorded
+	job.gone = make(map[fleet.LeaseID]bool)
+	job.checkpointing, job.evicted, job.hasEnded = false, false, false
+	owner.setMembers(job, attempt.members)
+}
+
+// adopt keeps a complete gang that runs.
+func (owner *owner) adopt(job *job, attempt found) {
+	owner.useAttempt(job, attempt)
+	delete(owner.recovering, job.record.Key())
+	endsBy := job.since.Add(owner.service.Timing.LeaseEnd())
+	recovered := scheduler.GangRecovered{Job: job.record.job(), Attempt: attempt.attempt}
+	recovered.Job.Attempts = attempt.attempt - 1
+	for _, member := range attempt.members {
+		owner.manager.Keep(member.Worker, member.Lease, endsBy)
+		recovered.Members = append(recovered.Members, scheduler.Member{Worker: member.Worker, Accelerators: member.Accelerators})
+	}
+	job.phase = phaseRunning
+	job.inCore = true
+	job.coreAttempt = attempt.attempt
+	job.record.Begun = attempt.attempt
+	now := time.Now()
+	owner.core.Apply(now, recovered)
+	owner.service.count("gangs_recovered", 1)
+	owner.logger.Info("gang recovered", "job", job.record.Job, "organisation", job.record.Organisation,
+		"attempt", attempt.attempt, "members", len(attempt.members), "unrecorded", attempt.unrecorded)
+	if attempt.unrecorded {
+		owner.saveLater(job)
+	}
+	if job.record.CancelRequested {
+		owner.core.Apply(now, scheduler.JobCancelled{Key: job.record.Key()})
+	}
+	owner.tellFreeOf(job.members)
+	owner.review(job)
+}
+
+// concludeAttempt ends or requeues a job after an attempt that holds nothing any more. A non-idempotent attempt
+// without evidence counts as lost.
+func (owner *owner) concludeAttempt(job *job, states []workerv1.TaskState) {
+	ran, released := false, true
+	for _, state := range states {
+		switch state {
+		case workerv1.TaskState_TASK_STATE_RELEASED:
+		case workerv1.TaskState_TASK_STATE_UNSPECIFIED:
+			released = false
+		default:
+			ran, released = true, false
+		}
+	}
+	if ran || !released && !job.record.Profile.Idempotent {
+		owner.ended(job, states)
+		return
+	}
+	job.record.State = StateQueued
+	owner.enqueue(job)
+	if !job.record.Profile.Idempotent {
+		owner.saveLater(job)
+	}
+}
--- /dev/null
+++ b/internal/domain/report.go
@@ -0,0 +1,217 @@
+package domain
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	"github.com/quetzalstall/quetzalstall/internal/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// stray is a lease that belongs to no attempt known here.
+type stray struct {
+	worker fleet.WorkerID
+	key    fleet.JobKey
+	since  time.Time
+	// busy is true while the lease is being stopped or its job looked up.
+	busy bool
+}
+
+// reported takes what a worker reports.
+func (owner *owner) reported(report worker.Report) {
+	now := time.Now()
+	for _, lease := range report.Changed {
+		owner.leaseChanged(lease, now)
+	}
+	affected := make(map[fleet.JobKey]bool)
+	for key := range owner.byWorker[report.Worker] {
+		affected[key] = true
+	}
+	for key := range affected {
+		owner.noteGone(owner.jobs[key], report)
+	}
+	switch {
+	case report.Lost:
+		delete(owner.foreign, report.Worker)
+		owner.core.Apply(now, scheduler.WorkerLost{Worker: report.Worker})
+	case report.Found:
+		delete(owner.foreign, report.Worker)
+	}
+	owner.tellFree(report.Worker)
+}
+
+// noteGone ends the gang of a job when its member on a worker is gone or cannot be reached.
+func (owner *owner) noteGone(job *job, report worker.Report) {
+	if job == nil {
+		return
+	}
+	for _, id := range report.Gone {
+		if job.hasMember(id) {
+			job.gone[id] = true
+		}
+	}
+	if job.phase != phaseRunning {
+		return
+	}
+	if report.Lost {
+		owner.stopGang(job)
+		return
+	}
+	owner.review(job)
+}
+
+func (owner *owner) leaseChanged(lease worker.Lease, now time.Time) {
+	known := owner.jobs[lease.Key]
+	if known == nil || !known.hasMember(lease.ID) {
+		owner.addStray(lease.Worker, lease.ID, lease.Key)
+		return
+	}
+	if known.phase == phaseRunning && known.inCore {
+		owner.core.Apply(now, scheduler.UsageReported{
+			Key: lease.Key, Attempt: known.coreAttempt, Used: owner.used(known),
+		})
+	}
+	if known.phase == phaseRecovering && known.left(now) {
+		owner.recoverOne(known, now)
+	}
+}
+
+// tellFree tells the core of a worker's accelerators that leases unknown to it hold, when that has changed.
+func (owner *owner) tellFree(id fleet.WorkerID) {
+	if !owner.manager.Reachable(id) {
+		return
+	}
+	var foreign fleet.Accelerators
+	for _, lease := range owner.manager.ActiveOn(id) {
+		known := owner.jobs[lease.Key]
+		if known == nil || !known.holds() || !known.hasMember(lease.ID) {
+			foreign += lease.Accelerators
+		}
+	}
+	if told, ok := owner.foreign[id]; ok && told == foreign {
+		return
+	}
+	owner.foreign[id] = foreign
+	owner.core.Apply(time.Now(), scheduler.WorkerFound{Worker: id, Foreign: foreign})
+}
+
+func (owner *owner) tellFreeOf(members []worker.Member) {
+	for _, member := range members {
+		owner.tellFree(member.Worker)
+	}
+}
+
+// tellStale tells the core again of workers that refused, once they have been read since.
+func (owner *owner) tellStale(now time.Time) {
+	for id, refused := range owner.stale {
+		if !owner.manager.SyncedSince(id, refused) || now.Sub(refused) < owner.service.Timing.SyncEvery {
+			continue
+		}
+		delete(owner.stale, id)
+		delete(owner.foreign, id)
+		owner.tellFree(id)
+	}
+}
+
+func (owner *owner) addStray(id fleet.WorkerID, lease fleet.LeaseID, key fleet.JobKey) {
+	if _, ok := owner.strays[lease]; !ok {
+		owner.strays[lease] = stray{worker: id, key: key, since: time.Now()}
+	}
+}
+
+// judgeStrays deals with the strays that no command in flight explains any more.
+func (owner *owner) judgeStrays(now time.Time) {
+	for id, lost := range owner.strays {
+		if lost.busy || now.Sub(lost.since) < owner.service.Timing.Settling() {
+			continue
+		}
+		lease, ok := owner.manager.Lease(lost.worker, id)
+		if !ok {
+			delete(owner.strays, id)
+			continue
+		}
+		owner.judgeStray(lost, lease)
+	}
+}
+
+func (owner *owner) judgeStray(lost stray, lease worker.Lease) {
+	known := owner.jobs[lost.key]
+	if known == nil {
+		owner.judgeOrphan(lost, lease)
+		return
+	}
+	attempt := fleet.Attempt(lease.Label.GetAttempt())
+	switch {
+	case known.hasMember(lease.ID):
+		delete(owner.strays, lease.ID)
+	case known.phase == phaseRecovering || known.phase == phaseEnding || known.saving:
+	case lease.Active() && attempt > known.record.Attempt:
+		delete(owner.strays, lease.ID)
+		owner.leaveCore(known)
+		owner.release(known)
+		delete(owner.parked, known.record.Key())
+		owner.recover(known)
+	case lease.Active():
+		owner.stopStray(lost, lease)
+	case !owner.unsaved[lost.key]:
+		owner.manager.Forget(lease.Worker, lease.ID)
+		delete(owner.strays, lease.ID)
+	}
+}
+
+// judgeOrphan deals with a lease whose job is not held here. Its record decides; without an answer it stays.
+func (owner *owner) judgeOrphan(lost stray, lease worker.Lease) {
+	if held, ok := owner.service.copies.get(lost.key); ok {
+		if held.record.State == StateEnded && held.record.Domain == owner.service.domain() {
+			owner.stopStray(lost, lease)
+			return
+		}
+		lost.since = time.Now()
+		owner.strays[lease.ID] = lost
+		return
+	}
+	lost.busy = true
+	owner.strays[lease.ID] = lost
+	owner.start(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, saveTimeout)
+		defer cancel()
+		_, _, err := owner.service.read(ctx, lost.key)
+		owner.post(func() {
+			if errors.Is(err, platform.ErrNotFound) {
+				owner.stopStray(lost, lease)
+				return
+			}
+			lost.busy, lost.since = false, time.Now()
+			owner.strays[lease.ID] = lost
+		})
+	})
+}
+
+// stopStray ends a lease that nothing accounts for and acknowledges its end.
+func (owner *owner) stopStray(lost stray, lease worker.Lease) {
+	if !lease.Active() {
+		owner.manager.Forget(lease.Worker, lease.ID)
+		delete(owner.strays, lease.ID)
+		return
+	}
+	lost.busy = true
+	owner.strays[lease.ID] = lost
+	owner.service.count("stray_leases_stopped", 1)
+	owner.logger.Warn("stray lease stopped", "job", lease.Key.Job, "organisation", lease.Key.Organisation,
+		"attempt", lease.Label.GetAttempt(), "worker", lease.Worker)
+	member := worker.Member{Worker: lease.Worker, Lease: lease.ID, Accelerators: lease.Accelerators}
+	owner.start(func(ctx context.Context) {
+		if _, err := owner.manager.StopGang(ctx, []worker.Member{member}); err != nil {
+			return
+		}
+		owner.post(func() {
+			owner.manager.Forget(lease.Worker, lease.ID)
+			delete(owner.strays, lease.ID)
+			owner.tellFree(lease.Worker)
+		})
+	})
+}
--- a/internal/standin/worker/checks.go
+++ b/internal/standin/worker/checks.go
@@ -54,18 +54,23 @@
 }
 
 // longestPartial returns the longest time for which some members ran and others were absent, and whether all
-// members ran at once at some time.
+// members ran at once at some moment.
 func longestPartial(runs []Run, now time.Time) (time.Duration, bool) {
 	var moments []time.Time
+	lastStart, firstEnd := runs[0].Start, endOr(runs[0], now)
 	for _, run := range runs {
 		moments = append(moments, run.Start, endOr(run, now))
+		if run.Start.After(lastStart) {
+			lastStart = run.Start
+		}
+		if end := endOr(run, now); end.Before(firstEnd) {
+			firstEnd = end
+		}
 	}
 	slices.SortFunc(moments, time.Time.Compare)
 	var longest, current time.Duration
-	whole := false
 	for i := 0; i+1 < len(moments); i++ {
 		running, present := countAt(runs, moments[i], now)
-		whole = whole || present == runs[0].GangMembers
 		if running == 0 || present >= runs[0].GangMembers {
 			current = 0
 			continue
@@ -73,6 +78,7 @@
 		current += moments[i+1].Sub(moments[i])
 		longest = max(longest, current)
 	}
+	whole := len(runs) == runs[0].GangMembers && !lastStart.After(firstEnd)
 	return longest, whole
 }
 
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -47,6 +47,10 @@
 // hold is what this process knows of a lease that it keeps.
 type hold struct {
 	renew bool
+	// kept is when the renewals began; from then on the worker knows the lease.
+	kept time.Time
+	// missing is true once the lease was found missing.
+	missing bool
 	// renewed is when the last renewal was sent.
 	renewed time.Time
 	// endsBy is when the lease must have ended unless it is renewed again.
@@ -185,6 +189,7 @@
 		report.Changed = append(report.Changed, lease)
 	}
 	link.since = response.Revision
+	report.Gone = append(report.Gone, link.missingHolds(began)...)
 	if request.Since == 0 {
 		report.Gone = append(report.Gone, link.removeUnseen(seen)...)
 		link.mismatch = link.difference(response)
@@ -232,6 +237,20 @@
 	return gone
 }
 
+// missingHolds returns the renewed leases that the worker did not report although it once granted them, as after
+// a restart before the first sync that would have shown them.
+func (link *link) missingHolds(began time.Time) []fleet.LeaseID {
+	var missing []fleet.LeaseID
+	for id, hold := range link.holds {
+		if _, known := link.leases[id]; known || !hold.renew || hold.missing || !hold.kept.Before(began) {
+			continue
+		}
+		hold.missing = true
+		missing = append(missing, id)
+	}
+	return missing
+}
+
 func (link *link) clear() []fleet.LeaseID {
 	return link.removeUnseen(nil)
 }
@@ -273,6 +292,12 @@
 	return link.answered && !link.lost
 }
 
+func (link *link) isLost() bool {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.lost
+}
+
 func (link *link) keep(id fleet.LeaseID, endsBy time.Time, renew bool) {
 	link.mutex.Lock()
 	kept, ok := link.holds[id]
@@ -281,6 +306,9 @@
 		link.holds[id] = kept
 	}
 	begin := renew && !kept.renew
+	if begin {
+		kept.kept = time.Now()
+	}
 	kept.renew = renew
 	kept.endsBy = later(kept.endsBy, endsBy)
 	link.mutex.Unlock()
--- a/internal/worker/manager.go
+++ b/internal/worker/manager.go
@@ -234,6 +234,12 @@
 	return ok && found.reachable()
 }
 
+// Lost reports whether the worker is not listed, or has missed too many syncs.
+func (manager *Manager) Lost(worker fleet.WorkerID) bool {
+	found, ok := manager.link(worker)
+	return !ok || found.isLost()
+}
+
 // Keep renews a lease from now on. EndsBy is when it must have ended if no renewal arrives.
 func (manager *Manager) Keep(worker fleet.WorkerID, id fleet.LeaseID, endsBy time.Time) {
 	if found, ok := manager.link(worker); ok {
