Put one entry process together, and a demo of seven

Cause: the parts have to serve callers as one process, with a planned stop, a dump and health checks. Change: internal/node wires configuration, membership, jobs and calls; mutual TLS with keys that are read again; internal/demo runs seven processes with load, failures and a count from the stand-ins' record; commands serve, standin and demo.

--- a/examples/examples.go
+++ b/examples/examples.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/settings"
 	"github.com/quetzalstall/quetzalstall/internal/strictjson"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/profile"
@@ -17,9 +18,11 @@
 
 // Deployment is one deployment's fleet and organisations.
 type Deployment struct {
-	Name          string
-	Fleet         fleet.Inventory
-	Organisations []*profile.Organisation
+	Name  string
+	Fleet fleet.Inventory
+	// PlatformAddress is that of the platform in the example settings.
+	PlatformAddress string
+	Organisations   []*profile.Organisation
 }
 
 // Names returns the names of the deployments.
@@ -50,7 +53,17 @@
 		}
 		deployment.Organisations = append(deployment.Organisations, organisation)
 	}
-	return deployment, nil
+	return deployment, deployment.loadPlatformAddress()
+}
+
+func (deployment *Deployment) loadPlatformAddress() error {
+	data, err := files.ReadFile(path.Join(deployment.Name, "settings", "entry-1.json"))
+	if err != nil {
+		return errors.Wrapf(err, "settings of %s", deployment.Name)
+	}
+	first, err := settings.Parse(data)
+	deployment.PlatformAddress = first.StoreAddress
+	return errors.Wrapf(err, "settings of %s", deployment.Name)
 }
 
 // Token returns the bearer token of an organisation in the examples. It protects nothing.
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,6 +34,9 @@
 
 func commands() []command {
 	return []command{
+		{"serve", "run the process of an entry VM", setupServe},
+		{"standin", "run stand-ins of the platform, workers and targets on loopback", setupStandin},
+		{"demo", "run a whole deployment with load and failures on loopback", setupDemo},
 		{"check", "check settings or an organisation's document", setupCheck},
 		{"apply", "put an organisation's document into force", setupApply},
 		{"show", "show the configuration in force", setupShow},
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -158,3 +158,8 @@
 	}
 	return request, time.Duration(5+maker.random.IntN(60)) * time.Millisecond
 }
+
+// wireID returns the id under which targets see the request; ids are unique only within an organisation.
+func (request *toldRequest) wireID() string {
+	return string(request.organisation) + "/" + request.id
+}
--- a/internal/domain/front.go
+++ b/internal/domain/front.go
@@ -151,6 +151,22 @@
 	return record, nil
 }
 
+// Explain tells why a job, or with an empty job id its organisation, is where it is.
+func (service *Service) Explain(ctx context.Context, key fleet.JobKey) ([]string, error) {
+	if key.Job == "" {
+		return service.explain(ctx, service.domain(), key)
+	}
+	record, err := service.find(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if record.State == StateEnded {
+		status := record.status()
+		return []string{status.State, status.Outcome.String() + ": " + status.Reason}, nil
+	}
+	return service.explain(ctx, record.Domain, key)
+}
+
 // explain returns the state of a job and then the reasons for it, as the owner tells them.
 func (service *Service) explain(ctx context.Context, domain fleet.RegionID, key fleet.JobKey) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -335,6 +335,9 @@
 
 // explain returns the state of a job and the reasons for it.
 func (owner *owner) explain(key fleet.JobKey) []string {
+	if key.Job == "" {
+		return owner.core.ExplainOrganisation(key.Organisation)
+	}
 	known := owner.jobs[key]
 	if known == nil {
 		return nil
--- /dev/null
+++ b/internal/node/assemble.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/caller"
+	"github.com/quetzalstall/quetzalstall/internal/domain"
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
+	"github.com/quetzalstall/quetzalstall/internal/operator"
+	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/internal/platform"
+	"github.com/quetzalstall/quetzalstall/internal/target"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
+	"github.com/quetzalstall/quetzalstall/internal/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1/operatorv1connect"
+	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1/peerv1connect"
+	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1/platformv1connect"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+const (
+	// headerTime bounds the time in which a caller sends the header of a request.
+	headerTime = 5 * time.Second
+	// idleTime closes a caller's connection that carries nothing.
+	idleTime = 2 * time.Minute
+	// maxHeader bounds the header of a request.
+	maxHeader = 16 << 10
+	// burstFactor is the number of seconds of the store's budget that may be spent at once.
+	burstFactor = 2
+)
+
+// assemble builds every part and wires them together.
+func (node *Node) assemble() error {
+	if err := node.loadKeys(); err != nil {
+		return err
+	}
+	node.client = transport.NewHTTPClient(node.tls)
+	node.assemblePlatform()
+	node.assembleConfig()
+	node.assembleMembership()
+	node.assembleJobs()
+	node.assembleCalls()
+	node.assembleServers()
+	return nil
+}
+
+func (node *Node) loadKeys() error {
+	files := node.Settings.TLS
+	if !files.Enabled() {
+		return nil
+	}
+	keys, err := transport.NewKeys(files.CertificateFile, files.KeyFile, files.AuthorityFile)
+	if err != nil {
+		return err
+	}
+	node.tls = keys.Config()
+	return nil
+}
+
+func (node *Node) assemblePlatform() {
+	// The platform speaks its own protocol without the system's keys.
+	client := transport.NewHTTPClient(nil)
+	url := transport.BaseURL(node.Settings.StoreAddress, nil)
+	node.store = platform.NewStore(platformv1connect.NewStoreServiceClient(client, url), node.Metrics)
+	calls := float64(node.Settings.StoreReads + node.Settings.StoreWrites)
+	node.store.Budget = platform.NewBudget(calls, burstFactor*calls)
+	node.store.Logger = node.Logger.Named("store")
+	node.inventory = platform.NewInventory(platform.NewVMList(platformv1connect.NewVMListServiceClient(client, url), node.Metrics))
+	node.inventory.Logger = node.Logger.Named("inventory")
+}
+
+func (node *Node) assembleConfig() {
+	node.config = operator.NewDistributor(node.store)
+	node.config.Check = node.checkPacking
+	node.config.Reclaims = packingMoves
+	node.config.Inventory = node.inventory.Current
+	node.config.Parse = profile.ParseOrganisation
+	node.config.Metrics = node.Metrics
+	node.config.Logger = node.Logger.Named("config")
+}
+
+func (node *Node) assembleJobs() {
+	node.jobs = domain.NewService()
+	node.jobs.View = node.membership
+	node.jobs.Store = node.store
+	node.jobs.Configs = node.config
+	node.jobs.Inventory = node.reading
+	node.jobs.NewScheduler = func() scheduler.Scheduler { return scheduler.NewCore(scheduler.DefaultSettings()) }
+	node.jobs.Dial = func(machine fleet.Worker) worker.Client {
+		return worker.NewClient(node.client, transport.BaseURL(machine.Address, node.tls))
+	}
+	node.jobs.StoreRegressed = node.config.Regressed
+	node.jobs.Timing.SyncEvery = time.Duration(node.Settings.SyncInterval)
+	node.jobs.Timing.TaskLease = time.Duration(node.Settings.TaskLease)
+	node.jobs.Timing.RenewEvery = time.Duration(node.Settings.RenewInterval)
+	node.jobs.Logger = node.Logger.Named("jobs")
+	node.jobs.Metrics = node.Metrics
+}
+
+func (node *Node) assembleCalls() {
+	node.calls = &target.Router{
+		View:       node.membership,
+		Configs:    node.config,
+		Targets:    func() []fleet.Target { return node.reading().Targets },
+		DataCentre: node.Settings.DataCentre,
+		RankSeats:  peer.RankSeats,
+		Seed:       node.Seed,
+		Logger:     node.Logger.Named("calls"),
+		Metrics:    node.Metrics,
+	}
+}
+
+func (node *Node) assembleServers() {
+	node.callers = &caller.Server{
+		Jobs:          node.jobs,
+		Calls:         node.calls,
+		Configs:       node.config,
+		MaxConcurrent: node.Settings.MaxConcurrentCalls,
+		Logger:        node.Logger.Named("callers"),
+		Metrics:       node.Metrics,
+	}
+	node.callerServer = &http.Server{
+		Handler:           node.callerHandler(),
+		ReadHeaderTimeout: headerTime,
+		IdleTimeout:       idleTime,
+		MaxHeaderBytes:    maxHeader,
+		Protocols:         bothProtocols(),
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(peers{node: node}))
+	node.peerServer = transport.NewServer(mux, node.tls)
+}
+
+// bothProtocols lets callers use HTTP/1.1 and HTTP/2 without TLS; the platform's balancer ends their TLS.
+func bothProtocols() *http.Protocols {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return protocols
+}
+
+// callerHandler serves callers, operators, health checks and collectors.
+func (node *Node) callerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(node.callers.Handler())
+	path, handler := operatorv1connect.NewOperatorServiceHandler(operators{node: node}, operatorOptions()...)
+	mux.Handle(path, requireToken(node.Settings.OperatorTokenHash, handler))
+	mux.Handle("GET /ready", node.callers.ReadyHandler())
+	mux.HandleFunc("GET /health", func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = writer.Write([]byte("healthy\n"))
+	})
+	mux.Handle("GET /metrics", requireToken(node.Settings.OperatorTokenHash, metrics.NewHandler(node.Metrics)))
+	return mux
+}
+
+// reading returns the last reading of the VM list; it is empty before the first one.
+func (node *Node) reading() fleet.Inventory {
+	inventory, _ := node.inventory.Current()
+	return inventory
+}
+
+// explain asks the owner of the domain.
+func (node *Node) explain(ctx context.Context, id fleet.OrganisationID, job fleet.JobID) ([]string, error) {
+	return node.jobs.Explain(ctx, fleet.JobKey{Organisation: id, Job: job})
+}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -42,11 +42,11 @@
 	return answer(response, err)
 }
 
-// Show returns the configuration in force at this process.
+// Show returns the configuration in force at this process; revision 0 stands for none.
 func (operators operators) Show(_ context.Context, request *connect.Request[operatorv1.ShowRequest]) (*connect.Response[operatorv1.ShowResponse], error) {
 	config := operators.node.config.Current()
 	if config == nil {
-		return answer[operatorv1.ShowResponse](nil, fault.New(fault.Starting, "no configuration yet"))
+		config = &profile.Config{}
 	}
 	shown := profile.Config{Revision: config.Revision, Organisations: config.Organisations}
 	if wanted := fleet.OrganisationID(request.Msg.Organisation); wanted != "" {
@@ -107,3 +107,8 @@
 		next.ServeHTTP(writer, request)
 	})
 }
+
+// operatorOptions bounds the messages of operators.
+func operatorOptions() []connect.HandlerOption {
+	return []connect.HandlerOption{connect.WithReadMaxBytes(maxOperatorMessage)}
+}
