--- /dev/null
+++ b/internal/operator/stateful_test.go
@@ -0,0 +1,228 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	standin "github.com/quetzalstall/quetzalstall/internal/standin/platform"
+	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// model runs processes step by step beside an oracle that holds what was accepted.
+type model struct {
+	standin   *standin.Platform
+	processes []*process
+	snapshots []standin.Snapshot
+	// accepted holds the edit of each accepted revision.
+	accepted map[fleet.Revision]*operatorv1.ApplyRequest
+	refused  map[string]bool
+	newest   fleet.Revision
+	quotas   map[string]int
+	edits    int
+}
+
+func newModel() *model {
+	created := &model{
+		standin:  standin.New(),
+		accepted: map[fleet.Revision]*operatorv1.ApplyRequest{},
+		refused:  map[string]bool{},
+		quotas:   map[string]int{},
+	}
+	created.snapshots = []standin.Snapshot{created.standin.Snapshot()}
+	for i := range 4 {
+		created.processes = append(created.processes, created.newProcess(i))
+	}
+	return created
+}
+
+func (model *model) newProcess(index int) *process {
+	created := newProcess(index, standin.NewDirect(model.standin))
+	created.Random = func() float64 { return 0 }
+	return created
+}
+
+func (model *model) draw(rt *rapid.T) *process {
+	return model.processes[rapid.IntRange(0, len(model.processes)-1).Draw(rt, "process")]
+}
+
+// step lets a process see the store and its peers.
+func (model *model) step(member *process) {
+	ctx := context.Background()
+	if seen, err := member.readHead(ctx); err == nil {
+		member.observe(seen)
+	}
+	member.hear(model.processes)
+	_ = member.CatchUp(ctx)
+}
+
+func (model *model) apply(rt *rapid.T) {
+	member := model.draw(rt)
+	member.hear(model.processes)
+	model.edits++
+	organisation := rapid.SampledFrom([]string{"reed", "moor"}).Draw(rt, "organisation")
+	seen := member.Revision() - fleet.Revision(rapid.IntRange(0, 4).Draw(rt, "behind")/4)
+	request := set(seen, fmt.Sprintf("edit%d", model.edits), organisation, model.edits)
+	if rapid.IntRange(0, 4).Draw(rt, "removal") == 0 {
+		request.DocumentJson = ""
+	}
+	response, err := member.Apply(context.Background(), request)
+	if err != nil {
+		if fault.Of(err).Kind == fault.AnswerLost {
+			rt.Fatalf("outcome is not known although the store answers reads")
+		}
+		model.refused[request.GetEditId()] = true
+		return
+	}
+	revision := fleet.Revision(response.GetRevision())
+	if other, taken := model.accepted[revision]; taken || revision != model.newest+1 || revision != seen+1 {
+		rt.Fatalf("edit %v got revision %d after %d, which has %v", request, revision, model.newest, other)
+	}
+	model.accepted[revision], model.newest = request, revision
+	delete(model.quotas, organisation)
+	if request.GetDocumentJson() != "" {
+		model.quotas[organisation] = model.edits
+	}
+	model.snapshots = append(model.snapshots, model.standin.Snapshot())
+}
+
+// repeat sends an accepted edit again.
+func (model *model) repeat(rt *rapid.T) {
+	if model.newest == 0 {
+		return
+	}
+	revision := fleet.Revision(rapid.IntRange(1, int(model.newest)).Draw(rt, "revision"))
+	member := model.draw(rt)
+	member.hear(model.processes)
+	response, err := member.Apply(context.Background(), model.accepted[revision])
+	if err == nil && fleet.Revision(response.GetRevision()) != revision {
+		rt.Fatalf("repeated edit of revision %d got %d", revision, response.GetRevision())
+	}
+	if err != nil && fault.Of(err).Kind != fault.StoreUnavailable {
+		rt.Fatalf("repeated edit of revision %d: %v", revision, err)
+	}
+}
+
+// restart replaces a process, unless it alone holds the newest revision.
+func (model *model) restart(rt *rapid.T) {
+	index := rapid.IntRange(0, len(model.processes)-1).Draw(rt, "process")
+	holders := 0
+	for i, member := range model.processes {
+		if i != index && member.Revision() == model.newest {
+			holders++
+		}
+	}
+	if holders > 0 {
+		model.processes[index] = model.newProcess(index)
+	}
+}
+
+// check ends the faults and lets every process catch up.
+func (model *model) check(rt *rapid.T) {
+	model.standin.SetDown(false)
+	model.standin.LoseAnswers(0)
+	for range 3 {
+		for _, member := range model.processes {
+			model.step(member)
+		}
+	}
+	for _, member := range model.processes {
+		current := member.state()
+		if current.head.Revision != model.newest || len(current.config.Organisations) != len(model.quotas) {
+			rt.Fatalf("%s has revision %d with %d organisations, want %d with %d", member.id, current.head.Revision,
+				len(current.config.Organisations), model.newest, len(model.quotas))
+		}
+		for organisation, quota := range model.quotas {
+			held := current.config.Organisations[fleet.OrganisationID(organisation)]
+			if held == nil || int(held.Quota) != quota {
+				rt.Fatalf("%s has %v for %s, want quota %d", member.id, held, organisation, quota)
+			}
+		}
+		for _, edit := range current.head.Edits {
+			if model.refused[edit.ID] {
+				rt.Fatalf("edit %s was refused and is in force", edit.ID)
+			}
+		}
+	}
+	if stored, err := model.processes[0].readHead(context.Background()); err != nil || stored.head.Revision != model.newest {
+		rt.Fatalf("store has head %v, %v; want revision %d", stored, err, model.newest)
+	}
+}
+
+// Guards against a revision that decreases, two edits of one revision, refused edits that come into force and
+// accepted ones that are lost, under any order of edits, outages, lost answers, regressions and restarts.
+func TestConfigurationAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		model := newModel()
+		defer func() { model.standin.SetDown(true) }()
+		rt.Repeat(map[string]func(*rapid.T){
+			"apply":    model.apply,
+			"repeat":   model.repeat,
+			"restart":  model.restart,
+			"step":     func(rt *rapid.T) { model.step(model.draw(rt)) },
+			"down":     func(rt *rapid.T) { model.standin.SetDown(rapid.Bool().Draw(rt, "down")) },
+			"lose":     func(rt *rapid.T) { model.standin.LoseAnswers(rapid.IntRange(0, 3).Draw(rt, "count")) },
+			"snapshot": func(*rapid.T) { model.snapshots = append(model.snapshots, model.standin.Snapshot()) },
+			"restore": func(rt *rapid.T) {
+				snapshot := rapid.IntRange(0, len(model.snapshots)-1).Draw(rt, "snapshot")
+				model.standin.Restore(model.snapshots[snapshot])
+			},
+			"": func(rt *rapid.T) {
+				for _, member := range model.processes {
+					if err := member.neverReverted(); err != nil {
+						rt.Fatal(err)
+					}
+				}
+			},
+		})
+		model.check(rt)
+	})
+}
+
+// Guards against two documents of one number that are taken for each other: the first one was left behind by a
+// refused edit, or belongs to edits that were made on a store that had lost its contents.
+func TestDocumentsOfOneNumber(t *testing.T) {
+	ctx := context.Background()
+	model := newModel()
+	first, second, third := model.processes[0], model.newProcess(8), model.newProcess(9)
+	apply := func(member *process, request *operatorv1.ApplyRequest) {
+		t.Helper()
+		if _, err := member.Apply(ctx, request); err != nil {
+			t.Fatal(err)
+		}
+	}
+	model.standin.LoseAnswers(1)
+	if _, err := first.Apply(ctx, set(0, "a", "reed", 1)); fault.Of(err).Kind != fault.StoreUnavailable {
+		t.Fatalf("edit whose document has an unknown outcome gives %v", err)
+	}
+	withOrphan := model.standin.Snapshot()
+	model.standin.Restore(model.snapshots[0])
+	apply(first, set(0, "b", "reed", 2))
+	model.standin.Restore(withOrphan)
+	for range 3 {
+		model.step(first)
+	}
+	seen, err := second.readHead(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second.observe(seen)
+	_ = second.CatchUp(ctx)
+	if config := second.Current(); config == nil || config.Organisations["reed"].Quota != 2 {
+		t.Errorf("process that reads the repaired store has %v", config)
+	}
+
+	model.standin.Restore(model.snapshots[0])
+	apply(third, set(0, "c", "reed", 3))
+	apply(third, set(1, "d", "moor", 4))
+	model.standin.SetDown(true)
+	first.hear([]*process{third})
+	_ = first.CatchUp(ctx)
+	if config := first.Current(); config.Revision != 2 || config.Organisations["reed"].Quota != 3 {
+		t.Errorf("process with another document of the same number has %v after it pulled", config)
+	}
+}
