--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -45,6 +45,11 @@
 	// version changes whenever capacity may have become free.
 	version uint64
 	steps   uint64
+	// budget is the accelerator-seconds that moving work may still lose; earned is when it last grew.
+	budget         float64
+	earned         time.Time
+	compacted      time.Time
+	nextCompaction time.Time
 	// decided collects the decisions until Decide returns them.
 	decided []Decision
 	history history
@@ -109,6 +114,7 @@
 
 // Decide returns what is to be done now and assumes in its state that it is being done.
 func (core *Core) Decide(now time.Time) []Decision {
+	core.earn(now)
 	core.readmit(now)
 	core.bindCells()
 	core.endOverruns(now)
@@ -142,6 +148,9 @@
 	if core.limits.Len() > 0 {
 		earliest(core.limits[0].at)
 	}
+	if core.waiting > 0 && !core.nextCompaction.IsZero() {
+		earliest(core.nextCompaction)
+	}
 	if core.quarantined > 0 {
 		earliest(core.nextReadmission())
 	}
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -72,10 +72,24 @@
 			victims = append(victims, gang)
 		}
 	}
-	slices.SortStableFunc(victims, func(left, right *entry) int {
+	core.sortByLoss(now, victims)
+	return victims
+}
+
+// totalLoss sums the losses of gangs.
+func (core *Core) totalLoss(now time.Time, gangs []*entry) float64 {
+	total := 0.0
+	for _, gang := range gangs {
+		total += core.loss(now, gang)
+	}
+	return total
+}
+
+// sortByLoss orders gangs by the loss for each accelerator that is freed.
+func (core *Core) sortByLoss(now time.Time, gangs []*entry) {
+	slices.SortStableFunc(gangs, func(left, right *entry) int {
 		return cmp.Compare(core.loss(now, left)/float64(left.total), core.loss(now, right)/float64(right.total))
 	})
-	return victims
 }
 
 // available returns what is free or about to become free on a worker.
@@ -100,7 +114,7 @@
 func (core *Core) reclaimCandidates(now time.Time, job *entry) []candidate {
 	var candidates []candidate
 	for _, room := range core.roomCandidates(job) {
-		slots, cost := core.reclaimCost(now, job, room.worker, room.members)
+		slots, cost := core.evictionCost(now, job, room.worker, room.members, core.victimsOn)
 		if slots > 0 {
 			candidates = append(candidates, candidate{room.worker, slots, cost})
 		}
@@ -108,14 +122,19 @@
 	return candidates
 }
 
-// reclaimCost returns how many of the members the victims on a worker make room for, and the loss for each.
-func (core *Core) reclaimCost(now time.Time, job *entry, machine *worker, members int) (int, float64) {
+// victimsFunc lists the gangs on a worker that may be evicted for a job, cheapest first.
+type victimsFunc func(now time.Time, job *entry, machine *worker) []*entry
+
+// evictionCost returns how many of the members the victims on a worker make room for, and the loss for each.
+func (core *Core) evictionCost(
+	now time.Time, job *entry, machine *worker, members int, list victimsFunc,
+) (int, float64) {
 	room := machine.available()
 	if room.covers(job.unit.times(members)) {
 		return members, 0
 	}
 	cost := 0.0
-	for _, victim := range core.victimsOn(now, job, machine) {
+	for _, victim := range list(now, job, machine) {
 		cost += core.loss(now, victim)
 		room = room.plus(victim.unit.times(machine.membersOf(victim)))
 		if room.covers(job.unit.times(members)) {
@@ -132,89 +151,103 @@
 	if holdings == nil {
 		return false
 	}
-	victims, enough := core.chooseVictims(now, job, holdings)
+	victims, enough := core.chooseVictims(now, job, holdings, core.victimsOn)
 	if !enough {
 		return false
 	}
+	core.budget -= core.totalLoss(now, victims)
 	core.claim(now, job, holdings, victims, "reclaims the guarantee of "+string(job.organisation.id))
 	return true
 }
 
 // chooseVictims picks the gangs to evict so that a claim fits: the least loss for each accelerator that is
 // needed and freed goes first. It reports whether they suffice.
-func (core *Core) chooseVictims(now time.Time, job *entry, holdings []holding) ([]*entry, bool) {
-	missing := map[*worker]resources{}
-	over := map[*worker]excess{}
+func (core *Core) chooseVictims(
+	now time.Time, job *entry, holdings []holding, list victimsFunc,
+) ([]*entry, bool) {
+	need := shortage{job: job, missing: map[*worker]resources{}, over: map[*worker]excess{}}
 	var candidates []*entry
+	seen := map[*entry]struct{}{}
 	for _, holding := range holdings {
-		machine := holding.worker
-		need := job.unit.times(holding.members).minus(machine.available())
-		if need.positive() == (resources{}) {
+		if !need.add(holding) {
 			continue
 		}
-		missing[machine] = need
-		over[machine] = excessOf(machine)
-		for _, victim := range core.victimsOn(now, job, machine) {
-			if !slices.Contains(candidates, victim) {
+		for _, victim := range list(now, job, holding.worker) {
+			if _, known := seen[victim]; !known {
+				seen[victim] = struct{}{}
 				candidates = append(candidates, victim)
 			}
 		}
 	}
+	scores := make(map[*entry]float64, len(candidates))
+	for _, candidate := range candidates {
+		scores[candidate] = core.loss(now, candidate) / float64(max(need.useful(candidate), 1))
+	}
+	slices.SortStableFunc(candidates, func(left, right *entry) int { return cmp.Compare(scores[left], scores[right]) })
 	var victims []*entry
-	for len(missing) > 0 {
-		at := core.bestVictim(now, job, candidates, missing, over)
-		if at < 0 {
-			return nil, false
+	for _, candidate := range candidates {
+		core.steps++
+		if len(need.missing) == 0 {
+			break
 		}
-		victim := candidates[at]
-		candidates = slices.Delete(candidates, at, at+1)
-		victims = append(victims, victim)
-		for _, held := range victim.holdings {
-			freed := victim.unit.times(held.members)
-			if tenants, ok := over[held.worker]; ok {
-				tenants[victim.organisation.tenant] = tenants[victim.organisation.tenant].minus(freed)
-			}
-			if need, ok := missing[held.worker]; ok {
-				need = need.minus(freed)
-				missing[held.worker] = need
-				if need.positive() == (resources{}) {
-					delete(missing, held.worker)
-				}
-			}
+		if need.useful(candidate) > 0 {
+			need.free(candidate)
+			victims = append(victims, candidate)
 		}
 	}
-	return dropNeedless(job, holdings, victims), true
+	return dropNeedless(job, holdings, victims), len(need.missing) == 0
 }
 
-// bestVictim returns the index of the candidate with the least loss for each useful accelerator; -1 if
-// none is useful.
-func (core *Core) bestVictim(
-	now time.Time, job *entry, candidates []*entry, missing map[*worker]resources, over map[*worker]excess,
-) int {
-	best, bestScore := -1, 0.0
-	for i, candidate := range candidates {
-		core.steps++
-		useful := int64(0)
-		for _, held := range candidate.holdings {
-			need, ok := missing[held.worker]
-			if !ok {
-				continue
-			}
-			own := candidate.organisation == job.organisation
-			if !own && over[held.worker][candidate.organisation.tenant][0] <= 0 {
-				continue
-			}
-			useful += min(max(need[0], 1), candidate.unit.times(held.members)[0])
-		}
-		if useful == 0 {
+// shortage is what a claim lacks on each worker while victims are chosen.
+type shortage struct {
+	job     *entry
+	missing map[*worker]resources
+	over    map[*worker]excess
+}
+
+// add notes what a holding lacks and reports whether that is anything.
+func (shortage *shortage) add(holding holding) bool {
+	machine := holding.worker
+	lack := shortage.job.unit.times(holding.members).minus(machine.available())
+	if lack.positive() == (resources{}) {
+		return false
+	}
+	shortage.missing[machine] = lack
+	shortage.over[machine] = excessOf(machine)
+	return true
+}
+
+// useful returns how many of a gang's accelerators the claim lacks and may take.
+func (shortage *shortage) useful(gang *entry) int64 {
+	useful := int64(0)
+	for _, held := range gang.holdings {
+		lack, ok := shortage.missing[held.worker]
+		if !ok {
 			continue
 		}
-		score := core.loss(now, candidate) / float64(useful)
-		if best < 0 || score < bestScore {
-			best, bestScore = i, score
+		own := gang.organisation == shortage.job.organisation
+		if own || shortage.over[held.worker][gang.organisation.tenant][0] > 0 {
+			useful += min(max(lack[0], 1), gang.unit.times(held.members)[0])
+		}
+	}
+	return useful
+}
+
+// free notes that a gang is evicted.
+func (shortage *shortage) free(gang *entry) {
+	for _, held := range gang.holdings {
+		freed := gang.unit.times(held.members)
+		if tenants, ok := shortage.over[held.worker]; ok {
+			tenants[gang.organisation.tenant] = tenants[gang.organisation.tenant].minus(freed)
+		}
+		if lack, ok := shortage.missing[held.worker]; ok {
+			lack = lack.minus(freed)
+			shortage.missing[held.worker] = lack
+			if lack.positive() == (resources{}) {
+				delete(shortage.missing, held.worker)
+			}
 		}
 	}
-	return best
 }
 
 // dropNeedless spares the victims without which the claim fits as well, the dearest choices first.
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -8,8 +8,9 @@
 		return
 	}
 	core.prioritise(now)
-	core.pass(now, core.tryGuarantee, false)
-	core.pass(now, core.tryFree, true)
+	core.pass(now, core.tryGuarantee, passGuarantee)
+	core.pass(now, core.tryFree, passFree)
+	core.compact(now)
 }
 
 // prioritise computes the order of organisations and callers for one decision.
@@ -26,6 +27,18 @@
 	}
 }
 
+// passKind says what a pass may do for a job.
+type passKind int
+
+const (
+	// passGuarantee places jobs in cells of their organisation.
+	passGuarantee passKind = iota
+	// passFree places jobs on accelerators that are free.
+	passFree
+	// passCompaction moves work to make room.
+	passCompaction
+)
+
 // turn is what is left to try for one organisation in one pass.
 type turn struct {
 	owner  *organisation
@@ -33,10 +46,10 @@
 }
 
 // pass tries the first job of every group, least attained service first, until no class finds a place.
-func (core *Core) pass(now time.Time, try func(time.Time, *entry) bool, last bool) {
+func (core *Core) pass(now time.Time, try func(time.Time, *entry) bool, kind passKind) {
 	var turns []*turn
 	for _, owner := range core.organisations {
-		if groups := core.hopeful(owner); len(groups) > 0 {
+		if groups := core.hopeful(owner, kind); len(groups) > 0 {
 			turns = append(turns, &turn{owner, groups})
 		}
 	}
@@ -47,18 +60,18 @@
 				at = i
 			}
 		}
-		if !core.tryTurn(now, turns[at], try, last) {
+		if !core.tryTurn(now, turns[at], try, kind) {
 			turns = append(turns[:at], turns[at+1:]...)
 		}
 	}
 }
 
 // hopeful lists the groups whose class may find a place since it last failed.
-func (core *Core) hopeful(owner *organisation) []*group {
+func (core *Core) hopeful(owner *organisation, kind passKind) []*group {
 	var groups []*group
 	for _, group := range owner.queue.ordered {
 		core.steps++
-		if version, failed := owner.failed[group.key.class]; failed && version == core.version {
+		if version, failed := owner.failed[group.key.class]; failed && version == core.version && kind != passCompaction {
 			continue
 		}
 		if group.jobs.Len() > 0 {
@@ -69,7 +82,7 @@
 }
 
 // tryTurn tries one job of an organisation and reports whether there are others to try.
-func (core *Core) tryTurn(now time.Time, turn *turn, try func(time.Time, *entry) bool, last bool) bool {
+func (core *Core) tryTurn(now time.Time, turn *turn, try func(time.Time, *entry) bool, kind passKind) bool {
 	at := 0
 	for i, group := range turn.groups {
 		core.steps++
@@ -94,7 +107,7 @@
 		}
 	}
 	turn.groups = kept
-	if last {
+	if kind == passFree {
 		turn.owner.failed[home.key.class] = core.version
 	}
 	return len(turn.groups) > 0
--- a/pkg/scheduler/settings.go
+++ b/pkg/scheduler/settings.go
@@ -31,6 +31,14 @@
 	MaxWaiting int `json:"max_waiting"`
 	// RetryAfter is what a caller is told when a queue is full.
 	RetryAfter time.Duration `json:"retry_after"`
+	// CompactionInterval is the least time between attempts to make room by moving work.
+	CompactionInterval time.Duration `json:"compaction_interval"`
+	// LossShare is the share of the accelerator time in use that moving work may lose.
+	LossShare float64 `json:"loss_share"`
+	// GainFactor scales the gain of a start, which is weighed against the work lost.
+	GainFactor float64 `json:"gain_factor"`
+	// MinRun is the time for which a gang runs before it may be moved.
+	MinRun time.Duration `json:"min_run"`
 	// History is the number of placements, reclaims and refusals that Dump holds, each.
 	History int `json:"history"`
 }
@@ -47,13 +55,17 @@
 			fleet.AcceleratorTime(2 * time.Hour),
 			fleet.AcceleratorTime(24 * time.Hour),
 		},
-		FailuresOfJob:    3,
-		FailuresOfWorker: 3,
-		QuarantineTime:   5 * time.Minute,
-		QuarantineShare:  0.1,
-		MaxWaiting:       200_000,
-		RetryAfter:       5 * time.Second,
-		History:          64,
+		FailuresOfJob:      3,
+		FailuresOfWorker:   3,
+		QuarantineTime:     5 * time.Minute,
+		QuarantineShare:    0.1,
+		MaxWaiting:         200_000,
+		RetryAfter:         5 * time.Second,
+		CompactionInterval: time.Second,
+		LossShare:          0.01,
+		GainFactor:         1,
+		MinRun:             20 * time.Second,
+		History:            64,
 	}
 }
 
@@ -70,6 +82,10 @@
 	setDefault(&settings.QuarantineShare, defaults.QuarantineShare)
 	setDefault(&settings.MaxWaiting, defaults.MaxWaiting)
 	setDefault(&settings.RetryAfter, defaults.RetryAfter)
+	setDefault(&settings.CompactionInterval, defaults.CompactionInterval)
+	setDefault(&settings.LossShare, defaults.LossShare)
+	setDefault(&settings.GainFactor, defaults.GainFactor)
+	setDefault(&settings.MinRun, defaults.MinRun)
 	setDefault(&settings.History, defaults.History)
 	if settings.Levels == nil {
 		settings.Levels = defaults.Levels
