Move cells away from work that a reclaim would lose

A reclaim whose victims lose much first binds an unused cell of its organisation elsewhere outside cells, if that halves the loss. Jobs that checkpoint and are not urgent borrow free accelerators instead of reclaiming. A job is infeasible only if a new packing of the fleet has no place for it either, since cells move.

With the saving set so that cells never move, the new test fails.

--- a/pkg/scheduler/admit.go
+++ b/pkg/scheduler/admit.go
@@ -88,15 +88,39 @@
 	if answer, known := core.feasible[question]; known {
 		return answer
 	}
-	answer := false
+	answer := core.fitsEmpty(question) || !question.preemptible && core.fitsPristine(question)
+	core.feasible[question] = answer
+	return answer
+}
+
+// fitsEmpty answers from where the cells are now.
+func (core *Core) fitsEmpty(question feasibility) bool {
 	for _, zone := range core.zones {
 		if core.assemble(question.shape, core.emptyCandidates(zone, question)) != nil {
-			answer = true
-			break
+			return true
 		}
 	}
-	core.feasible[question] = answer
-	return answer
+	return false
+}
+
+// fitsPristine answers from where a new packing of the whole fleet has the cells. Cells that moved for a
+// while make no job infeasible.
+func (core *Core) fitsPristine(question feasibility) bool {
+	if core.pristine == nil {
+		var listed []fleet.Worker
+		for _, zone := range core.zones {
+			for _, machine := range zone.workers {
+				if machine != nil {
+					listed = append(listed, machine.Worker)
+				}
+			}
+		}
+		core.pristine = packer(core.config, listed)
+	}
+	if question.tenant != anyTenant {
+		question.tenant = core.pristine.organisation(core.organisations[question.tenant].id).tenant
+	}
+	return core.pristine.fitsEmpty(question)
 }
 
 // emptyCandidates lists the workers of a data centre as if nothing ran.
@@ -136,6 +160,7 @@
 		return
 	}
 	core.recheck = false
+	core.pristine = nil
 	clear(core.feasible)
 	for _, owner := range core.organisations {
 		owner.queue.sweep()
--- a/pkg/scheduler/cells.go
+++ b/pkg/scheduler/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -165,7 +166,7 @@
 	if core.cellsMoved {
 		core.cellsMoved = false
 		core.listCellWorkers()
-		core.recheck = true
+		maps.DeleteFunc(core.feasible, func(question feasibility, _ bool) bool { return !question.preemptible })
 		core.version++
 	}
 }
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -38,7 +38,9 @@
 	// recheck is set when waiting jobs may have become infeasible.
 	recheck bool
 	// feasible holds answers that stay true until recheck is set.
-	feasible    map[feasibility]bool
+	feasible map[feasibility]bool
+	// pristine holds a new packing of the fleet; nil until it is needed.
+	pristine    *Core
 	quarantined int
 	// exhausted holds the searches that found nothing, with the version at that time.
 	exhausted map[searchKey]uint64
--- a/pkg/scheduler/core_test.go
+++ b/pkg/scheduler/core_test.go
@@ -237,3 +237,31 @@
 		}
 	}
 }
+
+// Guards against a reclaim that stops work without a checkpoint while the cell could move to other work.
+func TestReclaimMovesTheCellAwayFromWorkThatWouldBeLost(t *testing.T) {
+	form := shape(1, 8, fleet.AdjacencyWorker)
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": {{Count: 1, Shape: form}}, "valve": nil})
+	harness := newHarness(t, machines(4, 4, 1), config)
+	rerun := preemptible("rerun", form, profile.UrgencyNormal)
+	rerun.Checkpoint = false
+	var expensive []fleet.JobKey
+	for range 3 {
+		harness.submit("valve", "caller", preemptible("saved", form, profile.UrgencyNormal), 10*time.Hour)
+		harness.decide()
+	}
+	expensive = append(expensive, harness.submit("valve", "caller", rerun, 10*time.Hour))
+	harness.decide()
+	harness.advance(time.Hour)
+	urgent := harness.submit("reed", "caller", preemptible("urgent", form, profile.UrgencyUrgent), time.Minute)
+	harness.decide()
+	harness.advance(urgentBound)
+	if _, ok := harness.first[urgent]; !ok {
+		t.Errorf("not started: %v", harness.core.Explain(urgent))
+	}
+	for _, key := range expensive {
+		if gang, ok := harness.gangs[key]; !ok || gang.place.Attempt != 1 {
+			t.Errorf("job %s lost an hour of work", key)
+		}
+	}
+}
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -147,19 +147,27 @@
 
 // reclaim claims accelerators in the job's own cells and evicts the work that is in the way.
 func (core *Core) reclaim(now time.Time, job *entry) bool {
-	holdings := core.assemble(job.shape(), core.reclaimCandidates(now, job))
-	if holdings == nil {
-		return false
+	holdings, victims, found := core.planReclaim(now, job)
+	if found && core.rebindCheaper(now, job, victims) {
+		holdings, victims, found = core.planReclaim(now, job)
 	}
-	victims, enough := core.chooseVictims(now, job, holdings, core.victimsOn)
-	if !enough {
+	if !found {
 		return false
 	}
-	core.budget -= core.totalLoss(now, victims)
 	core.claim(now, job, holdings, victims, "reclaims the guarantee of "+string(job.organisation.id))
 	return true
 }
 
+// planReclaim chooses accelerators in the job's own cells and the gangs to evict from them.
+func (core *Core) planReclaim(now time.Time, job *entry) ([]holding, []*entry, bool) {
+	holdings := core.assemble(job.shape(), core.reclaimCandidates(now, job))
+	if holdings == nil {
+		return nil, nil, false
+	}
+	victims, enough := core.chooseVictims(now, job, holdings, core.victimsOn)
+	return holdings, victims, enough
+}
+
 // chooseVictims picks the gangs to evict so that a claim fits: the least loss for each accelerator that is
 // needed and freed goes first. It reports whether they suffice.
 func (core *Core) chooseVictims(
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -133,6 +133,11 @@
 	if holdings := core.findOpen(job); holdings != nil {
 		return core.start(now, job, holdings, "free accelerators outside cells")
 	}
+	if job.job.Profile.Checkpoint && job.preemptible && !job.urgent() {
+		if holdings := core.findAny(job); holdings != nil {
+			return core.start(now, job, holdings, "free accelerators, with borrowing instead of a reclaim")
+		}
+	}
 	return core.reclaim(now, job)
 }
 
