--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -38,13 +38,20 @@
 	// recheck is set when waiting jobs may have become infeasible.
 	recheck bool
 	// feasible holds answers that stay true until recheck is set.
-	feasible    map[feasibility]bool
+	feasible map[feasibility]bool
+	// pristine holds a new packing of the fleet; nil until it is needed.
+	pristine    *Core
 	quarantined int
 	// exhausted holds the searches that found nothing, with the version at that time.
 	exhausted map[searchKey]uint64
 	// version changes whenever capacity may have become free.
 	version uint64
 	steps   uint64
+	// budget is the accelerator-seconds that moving work may still lose; earned is when it last grew.
+	budget         float64
+	earned         time.Time
+	compacted      time.Time
+	nextCompaction time.Time
 	// decided collects the decisions until Decide returns them.
 	decided []Decision
 	history history
@@ -109,6 +116,7 @@
 
 // Decide returns what is to be done now and assumes in its state that it is being done.
 func (core *Core) Decide(now time.Time) []Decision {
+	core.earn(now)
 	core.readmit(now)
 	core.bindCells()
 	core.endOverruns(now)
@@ -142,6 +150,9 @@
 	if core.limits.Len() > 0 {
 		earliest(core.limits[0].at)
 	}
+	if core.waiting > 0 && !core.nextCompaction.IsZero() {
+		earliest(core.nextCompaction)
+	}
 	if core.quarantined > 0 {
 		earliest(core.nextReadmission())
 	}
