Answer callers in snake case, with one kind header

Cause: curl against a running process showed jobId, and Error-Kind twice on refusals before decoding; the error writer copies the same headers that the server had set. Change: a codec with the protocol's names; headers are copied only where the error writer is not used.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -76,6 +76,7 @@
 	path, inner := callerv1connect.NewCallerServiceHandler(&service{server: server},
 		connect.WithReadMaxBytes(int(server.MaxMessage)),
 		connect.WithSendMaxBytes(maxResponseMessage),
+		connect.WithCodec(jsonCodec{}),
 		connect.WithRecover(server.recovered),
 	)
 	return path, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -174,10 +175,10 @@
 func (server *Server) refuse(writer http.ResponseWriter, request *http.Request, id fleet.OrganisationID, problem *fault.Error) {
 	server.noteRefusal(id, "", problem)
 	failure := errorOf(problem)
-	for name, values := range failure.Meta() {
-		writer.Header()[name] = values
-	}
 	if !server.errors.IsSupported(request) {
+		for name, values := range failure.Meta() {
+			writer.Header()[name] = values
+		}
 		http.Error(writer, problem.Error(), fault.AnswerFor(problem.Kind).HTTP)
 		return
 	}
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -83,6 +83,26 @@
 	node.config.Logger = node.Logger.Named("config")
 }
 
+func (node *Node) assembleMembership() {
+	vm := fleet.EntryVM{
+		ID: node.Settings.VM, Address: node.Settings.PeerAddress, Region: node.Settings.Region, DataCentre: node.Settings.DataCentre,
+	}
+	// A process that starts again on its VM has a higher incarnation, since the VM's clock has gone on.
+	node.membership = peer.NewMembership(node.store, vm, time.Now().UnixNano())
+	node.membership.SeatCount = node.Settings.Seats
+	node.membership.Bootstrap = node.Settings.Peers
+	node.membership.Inventory = node.inventory.Current
+	node.membership.Ready = node.Ready
+	node.membership.FreeSlots = func() map[fleet.ServiceName]int { return node.calls.FreeSlots() }
+	node.membership.Revision = node.config.Revision
+	node.membership.OnRevision = node.config.HeardRevision
+	node.membership.NewClient = func(address string) peerv1connect.PeerServiceClient {
+		return peerv1connect.NewPeerServiceClient(node.client, transport.BaseURL(address, node.tls))
+	}
+	node.membership.Logger = node.Logger.Named("peers")
+	node.membership.Metrics = node.Metrics
+}
+
 func (node *Node) assembleJobs() {
 	node.jobs = domain.NewService()
 	node.jobs.View = node.membership
