--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 		{"serve", "run the process of an entry VM", setupServe},
 		{"standin", "run stand-ins of the platform, workers and targets on loopback", setupStandin},
 		{"demo", "run a whole deployment with load and failures on loopback", setupDemo},
+		{"capacity", "measure what each role costs at several sizes, for docs/CAPACITY.md", setupCapacity},
 		{"check", "check settings or an organisation's document", setupCheck},
 		{"apply", "put an organisation's document into force", setupApply},
 		{"show", "show the configuration in force", setupShow},
