Renew the leases of a gang together

Cause: a member's lease could be renewed after another member was lost and before the loss was noticed. If the owner then failed, part of the gang ran for up to 15 s from that renewal, more than 16 s after the loss. And the tests crashed at times inside the race detector.

A renewal now ends at most 16 s after the last sign of every other member, by a shorter lease when that sign is older than a second. Waits use function timers: due channel timers of a synctest bubble run on any thread with one race context, which corrupts the detector.

--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -112,6 +112,11 @@
 	owner.mutex.Lock()
 	owner.mailbox = append(owner.mailbox, work)
 	owner.mutex.Unlock()
+	owner.nudge()
+}
+
+// nudge wakes the goroutine of run.
+func (owner *owner) nudge() {
 	select {
 	case owner.wake <- struct{}{}:
 	default:
@@ -138,7 +143,7 @@
 	defer close(owner.done)
 	owner.takeOver()
 	last := time.Now()
-	timer := time.NewTimer(0)
+	timer := time.AfterFunc(0, owner.nudge)
 	defer timer.Stop()
 	for {
 		select {
@@ -147,7 +152,6 @@
 		case <-owner.ctx.Done():
 			return "stopping"
 		case <-owner.wake:
-		case <-timer.C:
 		}
 		now := time.Now()
 		if now.Sub(last) > owner.service.PauseLimit {
--- a/internal/domain/recover.go
+++ b/internal/domain/recover.go
@@ -55,7 +55,7 @@
 		if !ok {
 			continue
 		}
-		owner.manager.Watch(member.Worker, member.Lease, endsBy)
+		owner.manager.Watch(member, endsBy)
 		owner.addStray(member.Worker, member.Lease, job.record.Key())
 	}
 }
@@ -104,7 +104,7 @@
 		return
 	}
 	for _, member := range last.members {
-		owner.manager.Watch(member.Worker, member.Lease, job.since.Add(owner.service.Timing.LeaseEnd()))
+		owner.manager.Watch(member, job.since.Add(owner.service.Timing.LeaseEnd()))
 	}
 	owner.stopGang(job)
 }
@@ -238,11 +238,10 @@
 func (owner *owner) adopt(job *job, attempt found) {
 	owner.useAttempt(job, attempt)
 	delete(owner.recovering, job.record.Key())
-	endsBy := job.since.Add(owner.service.Timing.LeaseEnd())
+	owner.manager.KeepGang(attempt.members, job.since.Add(owner.service.Timing.LeaseEnd()))
 	recovered := scheduler.GangRecovered{Job: job.record.job(), Attempt: attempt.attempt}
 	recovered.Job.Attempts = attempt.attempt - 1
 	for _, member := range attempt.members {
-		owner.manager.Keep(member.Worker, member.Lease, endsBy)
 		recovered.Members = append(recovered.Members, scheduler.Member{Worker: member.Worker, Accelerators: member.Accelerators})
 	}
 	job.phase = phaseRunning
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -281,10 +281,7 @@
 
 // sleep waits for a time or until ctx ends.
 func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	<-ctx.Done()
 }
--- a/internal/worker/gang.go
+++ b/internal/worker/gang.go
@@ -73,9 +73,7 @@
 		manager.count("worker_gangs_incomplete", 1)
 		return result
 	}
-	for _, member := range gang.Members {
-		manager.Keep(member.Worker, member.Lease, time.Now().Add(manager.Timing.StartEnd()))
-	}
+	manager.KeepGang(gang.Members, time.Now().Add(manager.Timing.StartEnd()))
 	manager.count("worker_gangs_started", 1)
 	return result
 }
@@ -130,7 +128,7 @@
 		},
 	}
 	// The hold exists before the lease does, so that a stop knows when the lease must have ended.
-	manager.Watch(member.Worker, member.Lease, now.Add(manager.Timing.CommandExpiry+manager.Timing.Reservation+manager.Timing.Margin))
+	manager.Watch(member, now.Add(manager.Timing.CommandExpiry+manager.Timing.Reservation+manager.Timing.Margin))
 	granted := false
 	err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
 		request.ExpiresWorkerMs = expires
@@ -162,7 +160,7 @@
 		Input:   gang.Input,
 		Resume:  gang.Resume,
 	}
-	manager.Watch(member.Worker, member.Lease, time.Now().Add(manager.Timing.StartEnd()))
+	manager.Watch(member, time.Now().Add(manager.Timing.StartEnd()))
 	err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
 		if !time.Now().Before(gang.NoStartAfter) {
 			return 0, nil
@@ -258,7 +256,7 @@
 		endsBy = time.Now().Add(manager.Timing.LeaseEnd())
 	}
 	// No renewal may extend the lease from here on.
-	manager.Watch(member.Worker, member.Lease, endsBy)
+	manager.Watch(member, endsBy)
 	for ctx.Err() == nil {
 		if lease, ok := manager.Lease(member.Worker, member.Lease); ok && !lease.Active() {
 			return lease.State
@@ -303,11 +301,9 @@
 	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
 }
 
+// wait waits for a time or until ctx ends.
 func (manager *Manager) wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	<-ctx.Done()
 }
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -46,7 +46,8 @@
 
 // hold is what this process knows of a lease that it keeps.
 type hold struct {
-	renew bool
+	// group is the gang that the lease is renewed with; nil while it is not renewed.
+	group *group
 	// kept is when the renewals began; from then on the worker knows the lease.
 	kept time.Time
 	// missing is true once the lease was found missing.
@@ -71,16 +72,17 @@
 	}
 }
 
-// run syncs until the link is closed. The first sync comes at once, since a takeover waits for it.
+// run syncs until the link is closed. The first sync comes at once, since a takeover waits for it. The timer calls a
+// function, since with Go 1.26 the race detector crashes when several goroutines of a synctest bubble find their
+// channel timers due at once.
 func (link *link) run() {
-	timer := time.NewTimer(0)
+	timer := time.AfterFunc(0, link.nudge)
 	defer timer.Stop()
 	for {
 		select {
 		case <-link.ctx.Done():
 			return
 		case <-link.kick:
-		case <-timer.C:
 		}
 		link.sync()
 		timer.Reset(link.pause())
@@ -121,18 +123,25 @@
 
 // nextRequest collects the renewals that are due. What a renewal may extend is noted before it is sent.
 func (link *link) nextRequest() *workerv1.SyncRequest {
-	link.mutex.Lock()
-	defer link.mutex.Unlock()
 	timing := link.manager.Timing
 	now := time.Now()
-	request := &workerv1.SyncRequest{
-		TtlMs:       timing.TaskLease.Milliseconds(),
-		Since:       link.since,
-		Acknowledge: link.acknowledge,
+	ttl := timing.TaskLease
+	renew := make(map[fleet.LeaseID]bool)
+	for id, gang := range link.dueRenewals(now) {
+		age := now.Sub(gang.confirmedAt(now))
+		if age > timing.RenewEvery {
+			continue
+		}
+		ttl = min(ttl, timing.TaskLease+timing.Margin-age)
+		renew[id] = true
 	}
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	request := &workerv1.SyncRequest{TtlMs: ttl.Milliseconds(), Since: link.since, Acknowledge: link.acknowledge}
 	link.acknowledge = nil
-	for id, hold := range link.holds {
-		if !hold.renew || now.Sub(hold.renewed) < timing.RenewEvery {
+	for id := range renew {
+		hold, ok := link.holds[id]
+		if !ok || hold.group == nil {
 			continue
 		}
 		request.Renew = append(request.Renew, string(id))
@@ -143,6 +152,19 @@
 	return request
 }
 
+// dueRenewals returns the leases to be renewed, with their gangs.
+func (link *link) dueRenewals(now time.Time) map[fleet.LeaseID]*group {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	due := make(map[fleet.LeaseID]*group)
+	for id, hold := range link.holds {
+		if hold.group != nil && now.Sub(hold.renewed) >= link.manager.Timing.RenewEvery {
+			due[id] = hold.group
+		}
+	}
+	return due
+}
+
 // miss notes a failed sync. Its renewals are due again, and its acknowledgements are kept.
 func (link *link) miss(request *workerv1.SyncRequest) Report {
 	link.mutex.Lock()
@@ -242,7 +264,7 @@
 func (link *link) missingHolds(began time.Time) []fleet.LeaseID {
 	var missing []fleet.LeaseID
 	for id, hold := range link.holds {
-		if _, known := link.leases[id]; known || !hold.renew || hold.missing || !hold.kept.Before(began) {
+		if _, known := link.leases[id]; known || hold.group == nil || hold.missing || !hold.kept.Before(began) {
 			continue
 		}
 		hold.missing = true
@@ -298,23 +320,20 @@
 	return link.lost
 }
 
-func (link *link) keep(id fleet.LeaseID, endsBy time.Time, renew bool) {
+// hold notes when a lease must have ended, and renews it with its gang or, without one, no longer.
+func (link *link) hold(id fleet.LeaseID, endsBy time.Time, gang *group) {
 	link.mutex.Lock()
+	defer link.mutex.Unlock()
 	kept, ok := link.holds[id]
 	if !ok {
 		kept = &hold{}
 		link.holds[id] = kept
 	}
-	begin := renew && !kept.renew
-	if begin {
+	if gang != nil {
 		kept.kept = time.Now()
 	}
-	kept.renew = renew
+	kept.group = gang
 	kept.endsBy = later(kept.endsBy, endsBy)
-	link.mutex.Unlock()
-	if begin {
-		link.nudge()
-	}
 }
 
 func (link *link) endsBy(id fleet.LeaseID) (time.Time, bool) {
--- a/internal/worker/manager.go
+++ b/internal/worker/manager.go
@@ -240,20 +240,6 @@
 	return !ok || found.isLost()
 }
 
-// Keep renews a lease from now on. EndsBy is when it must have ended if no renewal arrives.
-func (manager *Manager) Keep(worker fleet.WorkerID, id fleet.LeaseID, endsBy time.Time) {
-	if found, ok := manager.link(worker); ok {
-		found.keep(id, endsBy, true)
-	}
-}
-
-// Watch notes when a lease must have ended, without renewing it.
-func (manager *Manager) Watch(worker fleet.WorkerID, id fleet.LeaseID, endsBy time.Time) {
-	if found, ok := manager.link(worker); ok {
-		found.keep(id, endsBy, false)
-	}
-}
-
 // EndsBy returns when a lease must have ended by the renewals that were sent; false if the lease is not kept.
 func (manager *Manager) EndsBy(worker fleet.WorkerID, id fleet.LeaseID) (time.Time, bool) {
 	found, ok := manager.link(worker)
@@ -270,6 +256,12 @@
 	}
 }
 
+func (manager *Manager) nudge(worker fleet.WorkerID) {
+	if found, ok := manager.link(worker); ok {
+		found.nudge()
+	}
+}
+
 // Hurry syncs with a worker at once and then often until a moment, because the end of a task is awaited.
 func (manager *Manager) Hurry(worker fleet.WorkerID, until time.Time) {
 	if found, ok := manager.link(worker); ok {
