--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -70,20 +70,24 @@
 	group.exhausted[refusing.VM.ID] = time.Now().Add(group.router.random.jitter(exhaustedTime))
 }
 
-// forwardForSlot asks a peer to run a task on a slot of its own. It reports refused when the peer did not run it.
+// forwardForSlot asks a peer to run a task on a slot of its own. It reports refused when the peer made no attempt
+// at a target, so that asking another one adds no load there.
 func (router *Router) forwardForSlot(task *task, group *group, to *peer.Peer) (response *callerv1.CallResponse, refused bool) {
 	router.count("forwards.slot")
-	response, proven := router.forward(task, to, &peerv1.ForwardCallRequest{
+	response, notRun := router.forward(task, to, &peerv1.ForwardCallRequest{
 		Organisation: string(task.organisation),
 		Call:         task.call,
 		Hops:         1,
 	}, group.longestTime())
-	if proven {
-		router.count("forwards.refused")
-		group.exhaust(to)
-		return nil, true
+	if !notRun {
+		return response, false
+	}
+	if response.GetKind() == string(fault.NoTarget) {
+		return task.refused(fault.New(fault.NoTarget, "%s", response.GetReason())), false
 	}
-	return response, false
+	router.count("forwards.refused")
+	group.exhaust(to)
+	return nil, true
 }
 
 // forward sends a task to a peer. It reports notRun when the peer, or the connection to it, proves that the
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -61,7 +61,7 @@
 	}
 	if task.forwarded {
 		group.mu.Unlock()
-		return grant{refusal: fault.New(fault.NoTarget, "no slot of this process is free")}
+		return grant{refusal: fault.New(fault.QueueFull, "no slot of this process is free")}
 	}
 	waiting := &waiter{task: task, granted: make(chan grant, 1)}
 	if refusal := group.enqueue(waiting); refusal != nil {
@@ -69,6 +69,7 @@
 		return grant{refusal: refusal}
 	}
 	group.mu.Unlock()
+	defer func() { task.waited = true }()
 	return group.wait(waiting)
 }
 
--- a/internal/target/harness_test.go
+++ b/internal/target/harness_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/internal/standin/network"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
@@ -47,125 +49,148 @@
 // cluster is a set of routers that reach each other in memory, and targets that they reach over pipes.
 type cluster struct {
 	t       testing.TB
-	routers []*Router
 	targets []*standin.Target
 	record  *standin.Record
-	network *network
-	since   []time.Time
+	network *network.Network
 
 	mu sync.Mutex
+	// processes holds the present process of each VM.
+	processes []*process
 	// down holds the processes that do not answer; lost those whose answers get lost after they were asked.
 	down, lost map[int]bool
 	// listed overrides the inventory that every process reads; nil lists all targets.
 	listed []fleet.Target
 	// blind makes every process see free slots everywhere, as an out-of-date view does.
-	blind  bool
-	cancel context.CancelFunc
-	runs   sync.WaitGroup
-}
-
-// network connects dialled addresses to listeners in memory.
-type network struct {
-	mu        sync.Mutex
-	listeners map[string]*pipeListener
-}
-
-func (network *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	network.mu.Lock()
-	listener, ok := network.listeners[address]
-	network.mu.Unlock()
-	if !ok {
-		return nil, errors.New("connection refused")
-	}
-	near, far := net.Pipe()
-	select {
-	case listener.accept <- far:
-		return near, nil
-	case <-listener.closed:
-		return nil, errors.New("connection refused")
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-type pipeListener struct {
-	address string
-	accept  chan net.Conn
-	once    sync.Once
-	closed  chan struct{}
+	blind bool
+	// reported holds the free slots of the last heartbeats.
+	reported []map[fleet.ServiceName]int
+	stopped  chan struct{}
+	runs     sync.WaitGroup
 }
 
-func (network *network) listen(address string) *pipeListener {
-	listener := &pipeListener{address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
-	network.mu.Lock()
-	defer network.mu.Unlock()
-	network.listeners[address] = listener
-	return listener
-}
-
-func (listener *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-listener.accept:
-		return conn, nil
-	case <-listener.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (listener *pipeListener) Close() error {
-	listener.once.Do(func() { close(listener.closed) })
-	return nil
+// process is one router from its start to its end.
+type process struct {
+	*Router
+	since  time.Time
+	dead   atomic.Bool
+	cancel context.CancelFunc
 }
 
-func (listener *pipeListener) Addr() net.Addr { return pipeAddress(listener.address) }
-
-type pipeAddress string
-
-func (pipeAddress) Network() string        { return "pipe" }
-func (address pipeAddress) String() string { return string(address) }
-
 // newCluster starts routers and targets in a synctest bubble. Seat i belongs to router i, since the start of the
 // fake clock minus an hour, so that all slots are usable at once.
 func newCluster(t testing.TB, routers, targets int, adjust func(*cluster)) *cluster {
 	made := &cluster{
-		t: t, record: standin.NewRecord(), network: &network{listeners: map[string]*pipeListener{}},
-		down: map[int]bool{}, lost: map[int]bool{},
+		t: t, record: standin.NewRecord(), network: network.New(),
+		down: map[int]bool{}, lost: map[int]bool{}, stopped: make(chan struct{}),
+		reported: make([]map[fleet.ServiceName]int, routers),
 	}
 	for i := range targets {
 		address := fmt.Sprintf("target-%d:80", i)
 		made.targets = append(made.targets, &standin.Target{
 			ID: fleet.TargetID(fmt.Sprintf("target-%d", i)), Slots: 8, Connections: 60,
-			Record: made.record, Listener: made.network.listen(address), LateBy: testLongest / 2,
+			Record: made.record, Listener: made.network.Listen(address), LateBy: testLongest / 2,
 		})
 	}
 	for i := range routers {
-		made.since = append(made.since, time.Now().Add(-time.Hour))
-		made.routers = append(made.routers, &Router{
-			View: clusterView{cluster: made, self: i}, Configs: testConfig("reed", "bands", "choirs"),
-			Targets: made.inventory, DataCentre: "ngara", Dial: made.network.dial, Seed: uint64(i + 1),
-			DefaultRequestTime: testLongest,
-		})
+		made.processes = append(made.processes, made.newProcess(i, time.Now().Add(-time.Hour)))
 	}
 	if adjust != nil {
 		adjust(made)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	made.cancel = cancel
 	for _, target := range made.targets {
 		target.Start()
 	}
-	for _, router := range made.routers {
-		made.runs.Go(func() { _ = router.Run(ctx) })
+	for _, process := range made.processes {
+		made.start(process)
+	}
+	made.beat()
+	made.runs.Go(made.beats)
+	return made
+}
+
+// beats brings the free slots of every process to all others.
+func (cluster *cluster) beats() {
+	ticker := time.NewTicker(500 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-cluster.stopped:
+			return
+		case <-ticker.C:
+			cluster.beat()
+		}
+	}
+}
+
+func (cluster *cluster) beat() {
+	reported := make([]map[fleet.ServiceName]int, len(cluster.processes))
+	for vm := range reported {
+		reported[vm] = map[fleet.ServiceName]int{testService: 4}
+		if !cluster.blind {
+			reported[vm] = cluster.process(vm).FreeSlots()
+		}
+	}
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	cluster.reported = reported
+}
+
+func (cluster *cluster) freeSlots(vm int) map[fleet.ServiceName]int {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	return cluster.reported[vm]
+}
+
+func (cluster *cluster) newProcess(vm int, since time.Time) *process {
+	made := &process{since: since}
+	made.Router = &Router{
+		View: clusterView{cluster: cluster, self: vm, own: made}, Configs: testConfig("reed", "bands", "choirs"),
+		Targets: cluster.inventory, DataCentre: "ngara", Seed: uint64(vm + 1), DefaultRequestTime: testLongest,
+		Dial: func(ctx context.Context, kind, address string) (net.Conn, error) {
+			if made.dead.Load() {
+				return nil, errCut
+			}
+			return cluster.network.Dial(ctx, kind, address)
+		},
 	}
 	return made
 }
 
+func (cluster *cluster) start(process *process) {
+	ctx, cancel := context.WithCancel(context.Background())
+	process.cancel = cancel
+	process.init()
+	cluster.runs.Go(func() { _ = process.Run(ctx) })
+}
+
+// replace ends the process of a VM at once; another one with no history takes its seat.
+func (cluster *cluster) replace(vm int) {
+	cluster.mu.Lock()
+	former := cluster.processes[vm]
+	next := cluster.newProcess(vm, time.Now())
+	cluster.processes[vm] = next
+	cluster.mu.Unlock()
+	former.dead.Store(true)
+	former.cancel()
+	for _, group := range former.allGroups() {
+		group.closePools()
+	}
+	cluster.start(next)
+}
+
+func (cluster *cluster) process(vm int) *process {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	return cluster.processes[vm]
+}
+
 // stop ends everything and waits for it.
 func (cluster *cluster) stop() {
-	for _, router := range cluster.routers {
-		_ = router.Close()
+	for _, process := range cluster.processes {
+		_ = process.Close()
+		process.cancel()
 	}
-	cluster.cancel()
+	close(cluster.stopped)
 	cluster.runs.Wait()
 	for _, target := range cluster.targets {
 		target.Close()
@@ -209,18 +234,9 @@
 	cluster.lost[process] = lost
 }
 
-// takeSeat makes a process the new holder of its seat, with an empty history.
-func (cluster *cluster) takeSeat(process int) {
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	cluster.since[process] = time.Now()
-	router := cluster.routers[process]
-	router.ledger = newLedger(router.MaxRecords, router.MaxHeldAnswers)
-}
-
 // call sends a request to one process.
 func (cluster *cluster) call(ctx context.Context, process int, call *callerv1.CallRequest) *callerv1.CallResponse {
-	return cluster.routers[process].Call(ctx, "reed", call)
+	return cluster.process(process).Call(ctx, "reed", call)
 }
 
 func newCall(id, name, body string) *callerv1.CallRequest {
@@ -238,6 +254,7 @@
 type clusterView struct {
 	cluster *cluster
 	self    int
+	own     *process
 }
 
 func (view clusterView) peer(process int) peer.Peer {
@@ -245,7 +262,7 @@
 		VM: fleet.EntryVM{ID: fleet.VMID(fmt.Sprintf("vm-%d", process))}, Seat: peer.Seat(process), Ready: true,
 	}
 	if process != view.self {
-		shown.Client = peerClient{cluster: view.cluster, process: process}
+		shown.Client = peerClient{cluster: view.cluster, process: process, from: view.own}
 	}
 	return shown
 }
@@ -254,15 +271,12 @@
 
 func (view clusterView) Live() []peer.Peer {
 	var live []peer.Peer
-	for i, router := range view.cluster.routers {
+	for i := range view.cluster.processes {
 		if i == view.self || view.cluster.isDown(i) {
 			continue
 		}
 		shown := view.peer(i)
-		shown.FreeSlots = map[fleet.ServiceName]int{testService: 4}
-		if !view.cluster.blind {
-			shown.FreeSlots = router.FreeSlots()
-		}
+		shown.FreeSlots = view.cluster.freeSlots(i)
 		live = append(live, shown)
 	}
 	return live
@@ -271,16 +285,14 @@
 func (view clusterView) Owner(fleet.RegionID) (peer.Peer, bool) { return peer.Peer{}, false }
 
 func (view clusterView) OwnSeat() (peer.Seat, time.Time, bool) {
-	view.cluster.mu.Lock()
-	defer view.cluster.mu.Unlock()
 	if view.self >= testSeats {
 		return peer.NoSeat, time.Time{}, false
 	}
-	return peer.Seat(view.self), view.cluster.since[view.self], true
+	return peer.Seat(view.self), view.own.since, true
 }
 
 func (view clusterView) SeatHolder(seat peer.Seat) (peer.Peer, bool) {
-	if int(seat) >= len(view.cluster.routers) || view.cluster.isDown(int(seat)) {
+	if int(seat) >= len(view.cluster.processes) || view.cluster.isDown(int(seat)) {
 		return peer.Peer{}, false
 	}
 	return view.peer(int(seat)), true
@@ -299,58 +311,53 @@
 	peerv1connect.PeerServiceClient
 	cluster *cluster
 	process int
+	from    *process
 }
 
 var errCut = connect.NewError(connect.CodeUnavailable, errors.New("connection ended"))
 
-// reach reports the router of the process, and whether its answer gets lost.
-func (client peerClient) reach(ctx context.Context) (router *Router, lost bool, err error) {
-	client.cluster.mu.Lock()
-	defer client.cluster.mu.Unlock()
-	if client.cluster.down[client.process] {
-		return nil, false, errCut
+// ask calls the present process of a VM. Its answer is lost when the fault says so, or when either side ended.
+func ask[Answer any](ctx context.Context, client peerClient, call func(*Router) (*Answer, error)) (*connect.Response[Answer], error) {
+	if client.from.dead.Load() || client.cluster.isDown(client.process) {
+		return nil, errCut
 	}
 	if trace := httptrace.ContextClientTrace(ctx); trace != nil {
 		trace.WroteHeaderField("", nil)
 	}
-	return client.cluster.routers[client.process], client.cluster.lost[client.process], nil
+	asked := client.cluster.process(client.process)
+	answer, err := call(asked.Router)
+	client.cluster.mu.Lock()
+	lost := client.cluster.lost[client.process]
+	client.cluster.mu.Unlock()
+	if lost || asked.dead.Load() || client.from.dead.Load() {
+		return nil, errCut
+	}
+	return connect.NewResponse(answer), err
 }
 
 // ForwardCall calls the router of the process.
 func (client peerClient) ForwardCall(ctx context.Context, request *connect.Request[peerv1.ForwardCallRequest]) (
 	*connect.Response[callerv1.CallResponse], error,
 ) {
-	router, lost, err := client.reach(ctx)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := router.ForwardCall(ctx, request.Msg)
-	if lost {
-		return nil, errCut
-	}
-	return connect.NewResponse(answer), err
+	return ask(ctx, client, func(router *Router) (*callerv1.CallResponse, error) {
+		return router.ForwardCall(ctx, request.Msg)
+	})
 }
 
 // LookUp calls the router of the process.
 func (client peerClient) LookUp(ctx context.Context, request *connect.Request[peerv1.LookUpRequest]) (
 	*connect.Response[callerv1.StatusResponse], error,
 ) {
-	router, lost, err := client.reach(ctx)
-	if err != nil || lost {
-		return nil, errCut
-	}
-	answer, err := router.LookUp(ctx, request.Msg)
-	return connect.NewResponse(answer), err
+	return ask(ctx, client, func(router *Router) (*callerv1.StatusResponse, error) {
+		return router.LookUp(ctx, request.Msg)
+	})
 }
 
 // RecordOutcomes calls the router of the process.
 func (client peerClient) RecordOutcomes(ctx context.Context, request *connect.Request[peerv1.RecordOutcomesRequest]) (
 	*connect.Response[peerv1.RecordOutcomesResponse], error,
 ) {
-	router, lost, err := client.reach(ctx)
-	if err != nil || lost {
-		return nil, errCut
-	}
-	answer, err := router.RecordOutcomes(ctx, request.Msg)
-	return connect.NewResponse(answer), err
+	return ask(ctx, client, func(router *Router) (*peerv1.RecordOutcomesResponse, error) {
+		return router.RecordOutcomes(ctx, request.Msg)
+	})
 }
--- /dev/null
+++ b/internal/target/limits_test.go
@@ -0,0 +1,278 @@
+package target
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+// load sends requests from all processes, some at once at each, and returns the outcomes.
+func (cluster *cluster) load(processes, atOnce, each int, name, body string) map[callerv1.Outcome]int {
+	var mu sync.Mutex
+	outcomes := map[callerv1.Outcome]int{}
+	var refusals []string
+	var callers sync.WaitGroup
+	for i := range processes * atOnce {
+		callers.Go(func() {
+			for n := range each {
+				ctx, cancel := context.WithTimeout(context.Background(), 4*testLongest)
+				got := cluster.call(ctx, i%processes, newCall(fmt.Sprintf("%s-%d-%d-%d", name, time.Now().UnixNano(), i, n), name, body))
+				cancel()
+				mu.Lock()
+				outcomes[got.GetOutcome()]++
+				if got.GetOutcome() == refused && len(refusals) < 10 {
+					refusals = append(refusals, got.GetKind()+": "+got.GetReason())
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	callers.Wait()
+	cluster.t.Logf("first refusals: %q", refusals)
+	return outcomes
+}
+
+func (cluster *cluster) checkLimits() {
+	cluster.t.Helper()
+	for _, target := range cluster.targets {
+		usage := cluster.record.Usage(target.ID)
+		if usage.HighestSlots > target.Slots || usage.HighestConnections > target.Connections ||
+			usage.RefusedSlots+usage.RefusedConnections > 0 {
+			cluster.t.Errorf("%s: limits exceeded: %+v", target.ID, usage)
+		}
+	}
+}
+
+// Guards against more slots or connections in use than a target has, whatever each process believes: two have no
+// seat, all see free slots everywhere, one is replaced, callers leave, answers are lost, connections go silent.
+func TestLimitsHoldWhileViewsDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var count atomic.Int64
+		cluster := newCluster(t, testSeats+2, 3, func(cluster *cluster) {
+			cluster.blind = true
+			for _, target := range cluster.targets {
+				target.Fault = func(string) standin.Fault {
+					if kind := standin.Fault(count.Add(1) % 100); kind <= standin.FaultReset {
+						return kind
+					}
+					return standin.FaultNone
+				}
+			}
+		})
+		defer cluster.stop()
+		var storm sync.WaitGroup
+		storm.Go(func() {
+			for round := range 6 {
+				time.Sleep(time.Second)
+				cluster.targets[round%3].Silence(round)
+				if round == 2 {
+					cluster.replace(1)
+				}
+				cluster.list(cluster.all()[round%2:])
+			}
+		})
+		outcomes := cluster.load(testSeats+2, 10, 20, "read", `{"sleep_ms": 100}`)
+		storm.Wait()
+		cluster.checkLimits()
+		if outcomes[completed] < 900 {
+			t.Errorf("only %d of 1800 requests completed: %v", outcomes[completed], outcomes)
+		}
+	})
+}
+
+// Guards against slots that stay idle at peers while requests wait, or at a process without a seat.
+func TestRequestsReachFreeSlotsOfPeers(t *testing.T) {
+	for _, process := range []int{0, testSeats} {
+		t.Run(fmt.Sprint(process), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, testSeats+1, 2, nil)
+				defer cluster.stop()
+				var callers sync.WaitGroup
+				for i := range 16 {
+					callers.Go(func() {
+						got := cluster.call(context.Background(), process, newCall(fmt.Sprint(i), "read", `{"sleep_ms": 500}`))
+						if got.GetOutcome() != completed {
+							t.Errorf("%v", got)
+						}
+					})
+				}
+				time.Sleep(450 * time.Millisecond)
+				if begun := cluster.record.Begun(); begun != 16 {
+					t.Errorf("%d of 16 requests run on 16 slots", begun)
+				}
+				callers.Wait()
+				cluster.checkLimits()
+			})
+		})
+	}
+}
+
+// Guards against new work on a target 3 s after it began to leave, and against an interrupted request on it.
+func TestLeavingTargetGetsNothingNew(t *testing.T) {
+	for _, announce := range []bool{false, true} {
+		t.Run(fmt.Sprintf("announced %v", announce), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, testSeats, 2, func(cluster *cluster) { cluster.targets[0].Announce = announce })
+				defer cluster.stop()
+				go func() {
+					time.Sleep(time.Second)
+					cluster.targets[0].Leave()
+					if !announce {
+						listed := cluster.all()
+						listed[0].Leaving = true
+						cluster.list(listed)
+					}
+				}()
+				outcomes := cluster.load(testSeats, 2, 40, "write", `{"sleep_ms": 150}`)
+				if outcomes[completed] != testSeats*2*40 {
+					t.Errorf("outcomes %v", outcomes)
+				}
+				if last := cluster.record.Usage(cluster.targets[0].ID).BeganAfterLeaving; last > 3*time.Second {
+					t.Errorf("last begin %v after leaving", last)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a silent connection that is used for longer than 5 s, or that is never replaced.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, testSeats, 1, nil)
+		defer cluster.stop()
+		time.Sleep(time.Second)
+		before := cluster.record.Usage(cluster.targets[0].ID)
+		silenced := cluster.targets[0].Silence(100)
+		if silenced != testSeats || before.Connections != testSeats {
+			t.Fatalf("%d of %d connections silent, want one of each process", silenced, before.Connections)
+		}
+		time.Sleep(5 * time.Second)
+		outcomes := cluster.load(testSeats, 1, 3, "write", "x")
+		if outcomes[completed] != 3*testSeats {
+			t.Errorf("outcomes 5 s after the silence: %v", outcomes)
+		}
+		if opened := cluster.record.Usage(cluster.targets[0].ID).AcceptedConnections; opened != 2*testSeats {
+			t.Errorf("%d connections opened, want %d", opened, 2*testSeats)
+		}
+		cluster.checkLimits()
+	})
+}
+
+// Guards against retries that multiply the load when everything fails.
+func TestRetryBudget(t *testing.T) {
+	for _, broken := range []standin.Fault{standin.FaultRefused, standin.FaultTruncated, standin.FaultReset} {
+		t.Run(fmt.Sprint(broken), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var attempts atomic.Int64
+				cluster := newCluster(t, testSeats, 20, func(cluster *cluster) {
+					for _, target := range cluster.targets {
+						target.Fault = func(string) standin.Fault { attempts.Add(1); return broken }
+					}
+				})
+				defer cluster.stop()
+				const requests = testSeats * 100
+				outcomes := cluster.load(testSeats, 1, 100, "read", "x")
+				if got := attempts.Load(); got > requests*11/10 {
+					t.Errorf("%d attempts for %d requests", got, requests)
+				}
+				if outcomes[completed] != 0 || broken != standin.FaultRefused && outcomes[unsure] == 0 {
+					t.Errorf("outcomes %v", outcomes)
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests that cross to another data centre while the nearest has free slots, or that do not when
+// it is full.
+func TestNearestDataCentreFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, 1, 4, nil)
+		defer cluster.stop()
+		near := 0
+		for _, target := range cluster.all() {
+			if target.DataCentre == "ngara" {
+				near += shareOf(target, rankSeats(string(target.ID), testSeats), 0).slots
+			}
+		}
+		for i := range near + 1 {
+			go cluster.call(context.Background(), 0, newCall(fmt.Sprint(i), "read", `{"sleep_ms": 300}`))
+			time.Sleep(time.Millisecond)
+			far := cluster.record.Usage("target-1").Slots + cluster.record.Usage("target-3").Slots
+			if want := max(i+1-near, 0); far != want {
+				t.Errorf("%d requests: %d in the other data centre, want %d", i+1, far, want)
+			}
+		}
+	})
+}
+
+// Guards against shares that overlap or leave slots out.
+func TestSharesAddUp(t *testing.T) {
+	tests := []struct{ slots, connections, usable int }{{8, 60, 8}, {3, 60, 3}, {8, 4, 8}, {0, 60, 0}, {20, 7, 20}}
+	for _, test := range tests {
+		target := fleet.Target{ID: "target-1", Slots: test.slots, Connections: test.connections}
+		ranked := rankSeats(string(target.ID), testSeats)
+		var slots, connections int
+		for seat := range ranked {
+			own := shareOf(target, ranked, ranked[seat])
+			slots += own.slots
+			connections += own.connections
+			if own.slots > 0 && own.connections == 0 {
+				t.Errorf("%+v: seat %d has slots and no connection", test, seat)
+			}
+		}
+		if slots != test.usable || connections != test.connections {
+			t.Errorf("%+v: shares add up to %d slots, %d connections", test, slots, connections)
+		}
+	}
+}
+
+func waiterOf(organisation fleet.OrganisationID, caller fleet.CallerID) *waiter {
+	return &waiter{task: &task{organisation: organisation, caller: caller, profile: &profile.Profile{}}, granted: make(chan grant, 1)}
+}
+
+// Guards against a large organisation or caller that delays a small one, and against a flood that pushes out
+// requests of others when the queue is full.
+func TestFairQueue(t *testing.T) {
+	queue := newFairQueue(100)
+	for range 90 {
+		queue.push(waiterOf("large", "a"))
+	}
+	for range 5 {
+		queue.push(waiterOf("large", "b"))
+		queue.push(waiterOf("small", "a"))
+	}
+	if evicted := queue.push(waiterOf("small", "b")); evicted == nil || evicted.task.organisation != "large" || evicted.task.caller != "a" {
+		t.Errorf("evicted %+v, want one of the large caller", evicted)
+	}
+	flood := waiterOf("large", "a")
+	if evicted := queue.push(flood); evicted != flood {
+		t.Errorf("the flood pushed out %+v", evicted.task)
+	}
+	served := map[string]int{}
+	for range 12 {
+		next := queue.pop().task
+		served[string(next.organisation)+"/"+string(next.caller)]++
+	}
+	want := map[string]int{"large/a": 3, "large/b": 3, "small/a": 5, "small/b": 1}
+	for key, count := range want {
+		if served[key] != count {
+			t.Errorf("first 12 served: %v, want %v", served, want)
+		}
+	}
+	for queue.pop() != nil {
+		continue
+	}
+	if queue.total != 0 || len(queue.organisations)+len(queue.profiles) != 0 {
+		t.Errorf("empty queue holds %d, %v", queue.total, queue.organisations)
+	}
+}
--- a/internal/target/queue.go
+++ b/internal/target/queue.go
@@ -86,7 +86,14 @@
 		caller.place = organisation.turn.PushBack(caller)
 		organisation.callers[caller.id] = caller
 	}
-	added.place = caller.waiters.PushBack(added)
+	if added.task.waited {
+		// A peer refused it after its turn had come; it keeps its place before those that came later.
+		added.place = caller.waiters.PushFront(added)
+		organisation.turn.MoveToFront(caller.place)
+		queue.turn.MoveToFront(organisation.place)
+	} else {
+		added.place = caller.waiters.PushBack(added)
+	}
 	organisation.waiting++
 	queue.profiles[profileKey{added.task.organisation, added.task.profile.Name}]++
 	queue.total++
--- a/internal/target/router_test.go
+++ b/internal/target/router_test.go
@@ -14,7 +14,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newCluster(t, testSeats, 2, nil)
 		defer cluster.stop()
-		for process := range cluster.routers {
+		for process := range cluster.processes {
 			for _, name := range []string{"read", "write"} {
 				id := name + string(rune('a'+process))
 				got := cluster.call(context.Background(), process, newCall(id, name, "hello"))
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -36,6 +36,8 @@
 	// forwarded is true when a peer asked for a slot; such a task runs at once on a slot of this process or not
 	// at all, since it has used its one hop.
 	forwarded bool
+	// waited is set once the task has been in the queue; only its own goroutine uses it.
+	waited bool
 
 	// gone is closed when the caller no longer waits.
 	gone chan struct{}
