Add the policy bench's simulation and baselines

Cause: policy claims need a measurement on the same work for every scheduler.

Before: no measurement.

--- /dev/null
+++ b/internal/bench/baseline.go
@@ -0,0 +1,233 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// Names of the baselines.
+const (
+	// BaselineFIFO starts jobs in order of submission, each on the first workers that fit; the job at the head of
+	// the queue holds the others back.
+	BaselineFIFO = "fifo_first_fit"
+	// BaselinePriority starts the most urgent job that fits and stops less urgent preemptible work for it, without
+	// regard to guarantees.
+	BaselinePriority = "strict_priority"
+)
+
+const (
+	baselineMaxFailures = 3
+	baselineGrace       = 2 * time.Second
+)
+
+// Baselines returns the schedulers that the core is compared with.
+func Baselines() []Candidate {
+	return []Candidate{
+		{Name: BaselineFIFO, New: func() scheduler.Scheduler { return newBaseline(false) }},
+		{Name: BaselinePriority, New: func() scheduler.Scheduler { return newBaseline(true) }},
+	}
+}
+
+// baselineJob is one job of a baseline.
+type baselineJob struct {
+	job      scheduler.Job
+	attempt  fleet.Attempt
+	members  []scheduler.Member
+	started  bool
+	saved    bool
+	evicted  bool
+	stopped  bool
+	stopAt   time.Time
+	cancel   bool
+	failures int
+}
+
+// baseline is a scheduler without guarantees, fairness or quarantine.
+type baseline struct {
+	byUrgency bool
+	workers   []fleet.Worker
+	groups    [][adjacencies]string
+	// unusable has the workers that are lost or refused a placement.
+	unusable map[fleet.WorkerID]bool
+	foreign  map[fleet.WorkerID]fleet.Accelerators
+	free     map[fleet.WorkerID]fleet.Accelerators
+	waiting  []*baselineJob
+	placed   []*baselineJob
+	jobs     map[fleet.JobKey]*baselineJob
+	pending  []scheduler.Decision
+}
+
+func newBaseline(byUrgency bool) *baseline {
+	return &baseline{
+		byUrgency: byUrgency,
+		unusable:  map[fleet.WorkerID]bool{},
+		foreign:   map[fleet.WorkerID]fleet.Accelerators{},
+		free:      map[fleet.WorkerID]fleet.Accelerators{},
+		jobs:      map[fleet.JobKey]*baselineJob{},
+	}
+}
+
+// Apply takes one event into the state.
+func (baseline *baseline) Apply(_ time.Time, event scheduler.Event) {
+	switch event := event.(type) {
+	case scheduler.FleetChanged:
+		baseline.workers = event.Workers
+		baseline.groups = nil
+		for _, worker := range event.Workers {
+			baseline.groups = append(baseline.groups, adjacencyGroups(worker))
+		}
+		baseline.recount()
+	case scheduler.JobSubmitted:
+		baseline.submit(event.Job)
+	case scheduler.JobCancelled:
+		baseline.cancel(event.Key)
+	case scheduler.GangStarted:
+		if job, ok := baseline.jobs[event.Key]; ok {
+			job.started, job.saved = true, false
+		}
+	case scheduler.PlaceFailed:
+		for _, worker := range event.Busy {
+			baseline.unusable[worker] = true
+		}
+		baseline.requeue(event.Key)
+	case scheduler.GangEnded:
+		baseline.ended(event)
+	case scheduler.WorkerLost:
+		baseline.unusable[event.Worker] = true
+	case scheduler.WorkerFound:
+		delete(baseline.unusable, event.Worker)
+		baseline.foreign[event.Worker] = event.Foreign
+		baseline.recount()
+	}
+}
+
+// recount derives the free accelerators from what is placed.
+func (baseline *baseline) recount() {
+	clear(baseline.free)
+	for _, worker := range baseline.workers {
+		if !worker.Leaving {
+			baseline.free[worker.ID] = worker.Accelerators - baseline.foreign[worker.ID]
+		}
+	}
+	for _, job := range baseline.placed {
+		for _, member := range job.members {
+			baseline.free[member.Worker] -= member.Accelerators
+		}
+	}
+}
+
+func (baseline *baseline) submit(job scheduler.Job) {
+	empty := map[fleet.WorkerID]fleet.Accelerators{}
+	for _, worker := range baseline.workers {
+		empty[worker.ID] = worker.Accelerators
+	}
+	if baseline.fit(*job.Profile.Shape, empty) == nil {
+		baseline.pending = append(baseline.pending, scheduler.Finish{
+			Key: job.Key, Verdict: scheduler.VerdictNotRun, Kind: fault.Infeasible, Reason: "no group of workers is large enough",
+		})
+		return
+	}
+	entry := &baselineJob{job: job, attempt: job.Attempts}
+	baseline.jobs[job.Key] = entry
+	baseline.enqueue(entry)
+}
+
+func (baseline *baseline) enqueue(entry *baselineJob) {
+	position, _ := slices.BinarySearchFunc(baseline.waiting, entry, baseline.compare)
+	baseline.waiting = slices.Insert(baseline.waiting, position, entry)
+}
+
+func (baseline *baseline) compare(a, b *baselineJob) int {
+	byTime := cmp.Or(a.job.Submitted.Compare(b.job.Submitted), cmp.Compare(a.job.Key.String(), b.job.Key.String()))
+	if !baseline.byUrgency {
+		return byTime
+	}
+	return cmp.Or(cmp.Compare(b.job.Profile.Urgency, a.job.Profile.Urgency), byTime)
+}
+
+func (baseline *baseline) cancel(key fleet.JobKey) {
+	entry, ok := baseline.jobs[key]
+	if !ok {
+		return
+	}
+	entry.cancel = true
+	if entry.members == nil {
+		baseline.waiting = remove(baseline.waiting, entry)
+		baseline.finish(entry, scheduler.VerdictCancelled, "cancelled while it waited")
+		return
+	}
+	baseline.stop(entry, "cancelled")
+}
+
+func (baseline *baseline) stop(entry *baselineJob, reason string) {
+	if entry.stopped {
+		return
+	}
+	entry.evicted, entry.stopped = true, true
+	baseline.pending = append(baseline.pending, scheduler.Evict{
+		Key: entry.job.Key, Attempt: entry.attempt, Step: scheduler.EvictStop, Reason: reason,
+	})
+}
+
+func (baseline *baseline) finish(entry *baselineJob, verdict scheduler.Verdict, reason string) {
+	delete(baseline.jobs, entry.job.Key)
+	baseline.pending = append(baseline.pending, scheduler.Finish{Key: entry.job.Key, Verdict: verdict, Reason: reason})
+}
+
+func remove(entries []*baselineJob, entry *baselineJob) []*baselineJob {
+	return slices.DeleteFunc(entries, func(other *baselineJob) bool { return other == entry })
+}
+
+func (baseline *baseline) release(entry *baselineJob) {
+	baseline.placed = remove(baseline.placed, entry)
+	for _, member := range entry.members {
+		baseline.free[member.Worker] += member.Accelerators
+	}
+	entry.members, entry.evicted, entry.stopped, entry.stopAt = nil, false, false, time.Time{}
+}
+
+func (baseline *baseline) requeue(key fleet.JobKey) {
+	entry, ok := baseline.jobs[key]
+	if !ok {
+		return
+	}
+	baseline.release(entry)
+	if entry.cancel {
+		baseline.finish(entry, scheduler.VerdictCancelled, "cancelled before it started")
+		return
+	}
+	baseline.enqueue(entry)
+}
+
+func (baseline *baseline) ended(event scheduler.GangEnded) {
+	entry, ok := baseline.jobs[event.Key]
+	if !ok {
+		return
+	}
+	entry.saved = event.Result == scheduler.EndCheckpointed
+	if event.Result == scheduler.EndFailed {
+		entry.failures++
+	}
+	idempotent := entry.job.Profile.Idempotent
+	switch {
+	case event.Result == scheduler.EndCompleted:
+		baseline.release(entry)
+		baseline.finish(entry, scheduler.VerdictCompleted, "")
+	case entry.cancel:
+		baseline.release(entry)
+		baseline.finish(entry, scheduler.VerdictCancelled, "stopped")
+	case event.Result == scheduler.EndFailed && (!idempotent || entry.failures >= baselineMaxFailures):
+		baseline.release(entry)
+		baseline.finish(entry, scheduler.VerdictFailed, "failed repeatedly")
+	case idempotent || entry.saved:
+		baseline.requeue(event.Key)
+	default:
+		baseline.release(entry)
+		baseline.finish(entry, scheduler.VerdictUnknown, "lost")
+	}
+}
--- /dev/null
+++ b/internal/bench/bound.go
@@ -0,0 +1,80 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+// pooledJob is a job on pooled accelerators; work is in accelerator seconds.
+type pooledJob struct {
+	arrives, width, work float64
+}
+
+// PooledBound estimates the least possible mean completion time of the jobs outside floods: all accelerators of
+// the fleet form one pool, shapes do not matter, run times are known, preemption costs nothing, and a job may run
+// with part of its accelerators. It returns the better of two orders, shortest remaining time first and smallest
+// remaining work first. Jobs that cannot succeed, and those of a flood, are left out.
+func PooledBound(workload Workload) profile.Duration {
+	var jobs []pooledJob
+	for i := range workload.Arrivals {
+		arrival := &workload.Arrivals[i]
+		if arrival.Flood || arrival.FailsAlways || arrival.Job.Profile.Name == profileImpossible {
+			continue
+		}
+		jobs = append(jobs, pooledJob{
+			arrives: arrival.Job.Submitted.Sub(epoch).Seconds(),
+			width:   float64(arrival.Job.Profile.Shape.Total()),
+			work:    arrival.work(),
+		})
+	}
+	capacity := float64(len(workload.Deployment.Workers)) * float64(workerAccelerators)
+	byTime := pooledMean(jobs, capacity, func(job *pooledJob) float64 { return job.work / job.width })
+	byWork := pooledMean(jobs, capacity, func(job *pooledJob) float64 { return job.work })
+	return profile.Duration(min(byTime, byWork) * float64(time.Second))
+}
+
+// pooledMean returns the mean completion time in seconds when the pool goes to the least key first. The order of
+// jobs that arrived can only change between events by work being done, which never raises a key.
+func pooledMean(jobs []pooledJob, capacity float64, key func(*pooledJob) float64) float64 {
+	const finished = 1e-6
+	waiting := make([]*pooledJob, 0, len(jobs))
+	now, sum, next := 0.0, 0.0, 0
+	for next < len(jobs) || len(waiting) > 0 {
+		slices.SortStableFunc(waiting, func(a, b *pooledJob) int { return cmp.Compare(key(a), key(b)) })
+		rates := make([]float64, len(waiting))
+		left, until := capacity, -1.0
+		for i, job := range waiting {
+			rates[i] = min(job.width, left)
+			left -= rates[i]
+			if rates[i] > 0 && (until < 0 || now+job.work/rates[i] < until) {
+				until = now + job.work/rates[i]
+			}
+		}
+		if next < len(jobs) && (until < 0 || jobs[next].arrives <= until) {
+			until = jobs[next].arrives
+		}
+		for i, job := range waiting {
+			job.work -= rates[i] * (until - now)
+		}
+		now = until
+		waiting = slices.DeleteFunc(waiting, func(job *pooledJob) bool {
+			if job.work <= finished {
+				sum += now - job.arrives
+				return true
+			}
+			return false
+		})
+		for next < len(jobs) && jobs[next].arrives <= now {
+			job := jobs[next]
+			waiting = append(waiting, &job)
+			next++
+		}
+	}
+	if len(jobs) == 0 {
+		return 0
+	}
+	return sum / float64(len(jobs))
+}
--- /dev/null
+++ b/internal/bench/core.go
@@ -0,0 +1,3 @@
+package bench
+
+func coreCandidates() []Candidate { return nil }
--- /dev/null
+++ b/internal/bench/measures.go
@@ -0,0 +1,295 @@
+package bench
+
+import (
+	"slices"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// shortestSlowdown bounds the run time in a slowdown from below, so that the start of very short jobs does not
+// dominate the mean.
+const shortestSlowdown = 10 * time.Second
+
+// Outcome is what became of one job.
+type Outcome struct {
+	Organisation fleet.OrganisationID
+	Job          fleet.JobID
+	Caller       fleet.CallerID
+	Flood        bool
+	LargeCaller  bool
+	Accelerators fleet.Accelerators
+	RunTime      time.Duration
+	// Completion runs from submission to the verdict.
+	Completion time.Duration
+	// FinishedAfter runs from the start of the simulation.
+	FinishedAfter time.Duration
+	Verdict       scheduler.Verdict
+}
+
+// Slowdown is the completion time over the run time; at least 1 for a completed job.
+func (outcome Outcome) Slowdown() float64 {
+	return outcome.Completion.Seconds() / max(outcome.RunTime, shortestSlowdown).Seconds()
+}
+
+// Sample is the state of the fleet at one moment.
+type Sample struct {
+	After time.Duration
+	Free  fleet.Accelerators
+	// Fragmentation is the share of the free accelerators that the largest waiting or guaranteed shape that the
+	// free accelerators could hold cannot use, because of where they are.
+	Fragmentation float64
+	// MemberFragmentation is the same for one member of that shape.
+	MemberFragmentation float64
+}
+
+// Measures are the measures of one run.
+type Measures struct {
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+	Refused   int `json:"refused"`
+	// MeanCompletion to MaxSlowdown are over the completed jobs outside floods.
+	MeanCompletion profile.Duration `json:"mean_completion"`
+	P95Completion  profile.Duration `json:"p95_completion"`
+	MeanSlowdown   float64          `json:"mean_slowdown"`
+	P95Slowdown    float64          `json:"p95_slowdown"`
+	// LowerBound is PooledBound of the workload.
+	LowerBound profile.Duration `json:"lower_bound"`
+	// Fragmentation is the mean over the window, weighted by free accelerators.
+	Fragmentation       float64 `json:"fragmentation"`
+	MemberFragmentation float64 `json:"member_fragmentation"`
+	// Utilisation is the mean share of accelerators in use over the window.
+	Utilisation float64 `json:"utilisation"`
+	// OthersCompleted counts jobs outside floods that completed within the window.
+	OthersCompleted int `json:"others_completed"`
+	// SmallSlowdown and LargeSlowdown are the mean slowdowns of the callers of each size.
+	SmallSlowdown float64 `json:"small_slowdown"`
+	LargeSlowdown float64 `json:"large_slowdown"`
+	// JainIndex is over callers, of run time per completion time.
+	JainIndex float64 `json:"jain_index"`
+	// LostShare is the share of accelerator time lost to reclaim and compaction.
+	LostShare float64 `json:"lost_share"`
+	Evictions int     `json:"evictions"`
+	// UrgentStarts counts the urgent starts inside guarantees.
+	UrgentStarts    int              `json:"urgent_starts"`
+	MaxUrgentStart  profile.Duration `json:"max_urgent_start"`
+	MeanUrgentStart profile.Duration `json:"mean_urgent_start"`
+	Decisions       int              `json:"decisions"`
+}
+
+// collector gathers what the measures need during a run.
+type collector struct {
+	record    *record
+	workload  Workload
+	samples   []Sample
+	outcomes  []Outcome
+	heldTime  float64
+	lostTime  float64
+	evicted   int
+	refused   int
+	decisions int
+}
+
+func newCollector(record *record, workload Workload) *collector {
+	return &collector{record: record, workload: workload}
+}
+
+func (collector *collector) hold(accelerators fleet.Accelerators, held time.Duration) {
+	collector.heldTime += float64(accelerators) * held.Seconds()
+}
+
+func (collector *collector) lose(accelerators fleet.Accelerators, lost time.Duration) {
+	collector.lostTime += float64(accelerators) * lost.Seconds()
+}
+
+func (collector *collector) finish(task *task, verdict scheduler.Verdict) {
+	job := task.arrival.Job
+	now := task.simulation.now
+	collector.outcomes = append(collector.outcomes, Outcome{
+		Organisation:  job.Key.Organisation,
+		Job:           job.Key.Job,
+		Caller:        job.Caller,
+		Flood:         task.arrival.Flood,
+		LargeCaller:   task.arrival.LargeCaller,
+		Accelerators:  task.accelerators(),
+		RunTime:       task.arrival.RunTime,
+		Completion:    now.Sub(job.Submitted),
+		FinishedAfter: now.Sub(epoch),
+		Verdict:       verdict,
+	})
+}
+
+// sample records the fragmentation now.
+func (collector *collector) sample(after time.Duration) {
+	var free fleet.Accelerators
+	for _, worker := range collector.record.order {
+		free += worker.free()
+	}
+	taken := Sample{After: after, Free: free}
+	if shape, ok := collector.largestShape(free); ok {
+		members := shape
+		members.Members, members.Adjacency = 1, fleet.AdjacencyWorker
+		taken.Fragmentation = collector.unusable(shape, free)
+		taken.MemberFragmentation = collector.unusable(members, free)
+	}
+	collector.samples = append(collector.samples, taken)
+}
+
+// largestShape returns the largest waiting or guaranteed shape that the free accelerators could hold.
+func (collector *collector) largestShape(free fleet.Accelerators) (fleet.Shape, bool) {
+	var shapes []fleet.Shape
+	for _, state := range collector.record.active {
+		if state.phase == phaseWaiting {
+			shapes = append(shapes, *state.job.Profile.Shape)
+		}
+	}
+	for _, organisation := range collector.record.config.Organisations {
+		for _, guarantee := range organisation.Guarantees {
+			shapes = append(shapes, guarantee.Shape)
+		}
+	}
+	shapes = slices.DeleteFunc(shapes, func(shape fleet.Shape) bool { return shape.Total() > free })
+	if len(shapes) == 0 {
+		return fleet.Shape{}, false
+	}
+	return slices.MinFunc(shapes, largestFirst), true
+}
+
+// unusable returns the share of the free accelerators that copies of the shape could use in one place, but not
+// where they are. What is left over by rounding to whole copies is not counted.
+func (collector *collector) unusable(shape fleet.Shape, free fleet.Accelerators) float64 {
+	ideal := int(free / shape.Total())
+	copies := collector.record.copies(shape, (*workerRecord).free)
+	return float64(ideal-copies) * float64(shape.Total()) / float64(free)
+}
+
+// measures derives the measures at the end of a run.
+func (collector *collector) measures() Measures {
+	measures := Measures{Refused: collector.refused, Evictions: collector.evicted, Decisions: collector.decisions}
+	var completed []Outcome
+	for _, outcome := range collector.outcomes {
+		switch outcome.Verdict {
+		case scheduler.VerdictCompleted:
+			measures.Completed++
+			if !outcome.Flood {
+				completed = append(completed, outcome)
+			}
+		case scheduler.VerdictFailed, scheduler.VerdictUnknown:
+			measures.Failed++
+		}
+	}
+	collector.measureCompletion(&measures, completed)
+	collector.measureCallers(&measures, completed)
+	collector.measureFleet(&measures)
+	if collector.heldTime > 0 {
+		measures.LostShare = collector.lostTime / collector.heldTime
+	}
+	waits := collector.record.guarantees.urgentWaits()
+	measures.UrgentStarts = len(waits)
+	if len(waits) > 0 {
+		measures.MaxUrgentStart = profile.Duration(slices.Max(waits))
+		measures.MeanUrgentStart = profile.Duration(mean(waits))
+	}
+	return measures
+}
+
+func (collector *collector) measureCompletion(measures *Measures, completed []Outcome) {
+	var times []time.Duration
+	var slowdowns []float64
+	for _, outcome := range completed {
+		times = append(times, outcome.Completion)
+		slowdowns = append(slowdowns, outcome.Slowdown())
+		if outcome.FinishedAfter <= collector.workload.Window {
+			measures.OthersCompleted++
+		}
+	}
+	measures.MeanCompletion = profile.Duration(mean(times))
+	measures.P95Completion = profile.Duration(quantile(times, 0.95))
+	measures.MeanSlowdown = mean(slowdowns)
+	measures.P95Slowdown = quantile(slowdowns, 0.95)
+}
+
+func (collector *collector) measureCallers(measures *Measures, completed []Outcome) {
+	var small, large []float64
+	run := map[fleet.CallerKey]time.Duration{}
+	spent := map[fleet.CallerKey]time.Duration{}
+	var callers []fleet.CallerKey
+	for _, outcome := range completed {
+		key := fleet.CallerKey{Organisation: outcome.Organisation, Caller: outcome.Caller}
+		if _, ok := run[key]; !ok {
+			callers = append(callers, key)
+		}
+		run[key] += outcome.RunTime
+		spent[key] += outcome.Completion
+		if outcome.LargeCaller {
+			large = append(large, outcome.Slowdown())
+		} else {
+			small = append(small, outcome.Slowdown())
+		}
+	}
+	measures.SmallSlowdown, measures.LargeSlowdown = mean(small), mean(large)
+	var rates []float64
+	for _, caller := range callers {
+		rates = append(rates, run[caller].Seconds()/spent[caller].Seconds())
+	}
+	measures.JainIndex = jain(rates)
+}
+
+func (collector *collector) measureFleet(measures *Measures) {
+	capacity := float64(len(collector.workload.Deployment.Workers)) * float64(workerAccelerators)
+	var free, unusable, unusableByMember float64
+	count := 0
+	for _, sample := range collector.samples {
+		if sample.After < collector.workload.WarmUp || sample.After > collector.workload.Window {
+			continue
+		}
+		count++
+		free += float64(sample.Free)
+		unusable += sample.Fragmentation * float64(sample.Free)
+		unusableByMember += sample.MemberFragmentation * float64(sample.Free)
+	}
+	if count == 0 {
+		return
+	}
+	measures.Utilisation = 1 - free/(capacity*float64(count))
+	if free > 0 {
+		measures.Fragmentation = unusable / free
+		measures.MemberFragmentation = unusableByMember / free
+	}
+}
+
+// mean returns 0 for no values.
+func mean[T ~int64 | ~float64](values []T) T {
+	if len(values) == 0 {
+		return 0
+	}
+	var sum T
+	for _, value := range values {
+		sum += value
+	}
+	return sum / T(len(values))
+}
+
+// quantile returns the value that the given share of the values does not exceed; 0 for no values.
+func quantile[T ~int64 | ~float64 | ~uint64](values []T, share float64) T {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(share*float64(len(sorted))))]
+}
+
+// jain returns Jain's fairness index: 1 when all values are equal, 1/n when one has everything.
+func jain(values []float64) float64 {
+	var sum, squares float64
+	for _, value := range values {
+		sum += value
+		squares += value * value
+	}
+	if squares == 0 {
+		return 1
+	}
+	return sum * sum / (float64(len(values)) * squares)
+}
--- /dev/null
+++ b/internal/bench/packing.go
@@ -0,0 +1,166 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// packingTries bounds the random orders in which the packing is tried before it counts as impossible.
+const packingTries = 40
+
+// cell is one guaranteed shape of one organisation.
+type cell struct {
+	organisation fleet.OrganisationID
+	shape        fleet.Shape
+}
+
+// packing places all guaranteed shapes together beside the non-preemptible work of other organisations.
+type packing struct {
+	record *record
+	// fixed and cells count accelerators by worker and organisation.
+	fixed map[fleet.WorkerID]map[fleet.OrganisationID]fleet.Accelerators
+	cells map[fleet.WorkerID]map[fleet.OrganisationID]fleet.Accelerators
+	// blocked sums, by worker, the larger of fixed and cells over the organisations.
+	blocked map[fleet.WorkerID]fleet.Accelerators
+}
+
+// checkReclaimable checks that a non-preemptible job that was just placed leaves room for all guarantees.
+func (record *record) checkReclaimable(state *jobRecord) {
+	if state.job.Profile.Preemptible() || record.packs(nil) || !record.packs(state) {
+		return
+	}
+	record.violate(RuleUnreclaimable, "%s on %s", state.job.Key, state.members[0].Worker)
+}
+
+// packs reports whether all guarantees pack beside the non-preemptible work, leaving one job out of account.
+func (record *record) packs(without *jobRecord) bool {
+	fixed := map[fleet.WorkerID]map[fleet.OrganisationID]fleet.Accelerators{}
+	for _, state := range record.active {
+		if state == without || state.job.Profile.Preemptible() {
+			continue
+		}
+		for _, member := range state.members {
+			if fixed[member.Worker] == nil {
+				fixed[member.Worker] = map[fleet.OrganisationID]fleet.Accelerators{}
+			}
+			fixed[member.Worker][state.job.Key.Organisation] += member.Accelerators
+		}
+	}
+	cells := record.guaranteedCells()
+	random := rand.New(rand.NewPCG(1, 1))
+	for try := range packingTries {
+		if try > 0 {
+			random.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
+		}
+		if newPacking(record, fixed).placeAll(cells) {
+			return true
+		}
+	}
+	return false
+}
+
+// guaranteedCells lists every guaranteed shape, the largest first.
+func (record *record) guaranteedCells() []cell {
+	var cells []cell
+	for _, id := range sortedOrganisations(record.config) {
+		for _, guarantee := range record.config.Organisations[id].Guarantees {
+			for range guarantee.Count {
+				cells = append(cells, cell{id, guarantee.Shape})
+			}
+		}
+	}
+	slices.SortStableFunc(cells, func(a, b cell) int { return largestFirst(a.shape, b.shape) })
+	return cells
+}
+
+func newPacking(record *record, fixed map[fleet.WorkerID]map[fleet.OrganisationID]fleet.Accelerators) *packing {
+	packing := &packing{
+		record:  record,
+		fixed:   fixed,
+		cells:   map[fleet.WorkerID]map[fleet.OrganisationID]fleet.Accelerators{},
+		blocked: map[fleet.WorkerID]fleet.Accelerators{},
+	}
+	for worker, held := range fixed {
+		for _, accelerators := range held {
+			packing.blocked[worker] += accelerators
+		}
+	}
+	return packing
+}
+
+func (packing *packing) placeAll(cells []cell) bool {
+	for _, cell := range cells {
+		if !packing.place(cell) {
+			return false
+		}
+	}
+	return true
+}
+
+// place puts one cell into the group of adjacent workers that has the least room for it.
+func (packing *packing) place(cell cell) bool {
+	room := map[string]int{}
+	var groups []string
+	for _, worker := range packing.record.order {
+		group := worker.groups[cell.shape.Adjacency]
+		if _, ok := room[group]; !ok {
+			groups = append(groups, group)
+		}
+		room[group] += int(packing.available(worker, cell.organisation) / cell.shape.Accelerators)
+	}
+	best := ""
+	for _, group := range groups {
+		if room[group] >= cell.shape.Members && (best == "" || room[group] < room[best]) {
+			best = group
+		}
+	}
+	if best == "" {
+		return false
+	}
+	packing.fill(cell, best)
+	return true
+}
+
+// available returns what an organisation's next cell may cover on a worker. Its own non-preemptible work may lie
+// inside its cells.
+func (packing *packing) available(worker *workerRecord, organisation fleet.OrganisationID) fleet.Accelerators {
+	if worker.lost || worker.gone || worker.worker.Leaving {
+		return 0
+	}
+	id := worker.worker.ID
+	own := max(packing.fixed[id][organisation], packing.cells[id][organisation])
+	others := packing.blocked[id] - own
+	return worker.worker.Accelerators - worker.foreign - others - packing.cells[id][organisation]
+}
+
+// fill takes the members of a cell from the workers of a group, those with the organisation's own work first.
+func (packing *packing) fill(cell cell, group string) {
+	var workers []*workerRecord
+	for _, worker := range packing.record.order {
+		if worker.groups[cell.shape.Adjacency] == group {
+			workers = append(workers, worker)
+		}
+	}
+	slices.SortStableFunc(workers, func(a, b *workerRecord) int {
+		return int(packing.fixed[b.worker.ID][cell.organisation] - packing.fixed[a.worker.ID][cell.organisation])
+	})
+	missing := cell.shape.Members
+	for _, worker := range workers {
+		for missing > 0 && packing.available(worker, cell.organisation) >= cell.shape.Accelerators {
+			packing.cover(worker.worker.ID, cell)
+			missing--
+		}
+	}
+}
+
+func (packing *packing) cover(id fleet.WorkerID, cell cell) {
+	if packing.cells[id] == nil {
+		packing.cells[id] = map[fleet.OrganisationID]fleet.Accelerators{}
+	}
+	before := max(packing.fixed[id][cell.organisation], packing.cells[id][cell.organisation])
+	packing.cells[id][cell.organisation] += cell.shape.Accelerators
+	after := max(packing.fixed[id][cell.organisation], packing.cells[id][cell.organisation])
+	packing.blocked[id] += after - before
+}
--- /dev/null
+++ b/internal/bench/report.go
@@ -0,0 +1,114 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+// Result is one run of one candidate.
+type Result struct {
+	Deployment string   `json:"deployment"`
+	Workload   string   `json:"workload"`
+	Seed       uint64   `json:"seed"`
+	Candidate  string   `json:"candidate"`
+	Measures   Measures `json:"measures"`
+	// Broken counts violations by rule; Violations has the first of them.
+	Broken     map[string]int `json:"broken"`
+	Violations []Violation    `json:"violations,omitempty"`
+	// Outcomes and Samples are for plots and tests and not part of the JSON report.
+	Outcomes []Outcome `json:"-"`
+	Samples  []Sample  `json:"-"`
+}
+
+// Report holds the results of all runs, in the order of deployment, workload, seed and candidate.
+type Report struct {
+	Results []Result `json:"results"`
+}
+
+func (simulation *simulation) result(candidate string) Result {
+	return Result{
+		Deployment: simulation.workload.Deployment.Name,
+		Workload:   simulation.workload.Name,
+		Seed:       simulation.workload.Seed,
+		Candidate:  candidate,
+		Measures:   simulation.collected.measures(),
+		Broken:     simulation.record.broken,
+		Violations: simulation.record.violations,
+		Outcomes:   simulation.collected.outcomes,
+		Samples:    simulation.collected.samples,
+	}
+}
+
+// Violated returns the number of broken rules.
+func (result Result) Violated() int {
+	sum := 0
+	for _, count := range result.Broken {
+		sum += count
+	}
+	return sum
+}
+
+// Write writes report.json, report.md and the plots into a directory, which it creates.
+func (report Report) Write(directory string) error {
+	if err := os.MkdirAll(directory, 0o755); err != nil {
+		return errors.Wrap(err, "create the directory of the report")
+	}
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "marshal the report")
+	}
+	files := map[string][]byte{"report.json": text, "report.md": []byte(report.Markdown())}
+	for name, content := range files {
+		if err := os.WriteFile(filepath.Join(directory, name), content, 0o644); err != nil {
+			return errors.Wrap(err, "write the report")
+		}
+	}
+	return report.plot(directory)
+}
+
+// Markdown returns one table for each deployment and workload.
+func (report Report) Markdown() string {
+	var text strings.Builder
+	text.WriteString("# Policy benchmark\n")
+	title := ""
+	for _, result := range report.Results {
+		if next := result.Deployment + ", " + result.Workload; next != title {
+			title = next
+			fmt.Fprintf(&text, "\n## %s\n\n%s", title, tableHead)
+		}
+		text.WriteString(result.row())
+	}
+	return text.String()
+}
+
+const tableHead = "| seed | scheduler | completed | mean completion | p95 | / bound | slowdown | fragmentation | by member | " +
+	"small / large | Jain | lost | urgent max | violations |\n|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n"
+
+func (result Result) row() string {
+	measures := result.Measures
+	return fmt.Sprintf("| %d | %s | %d | %s | %s | %.2f | %.2f | %.1f%% | %.1f%% | %.2f / %.2f | %.3f | %.2f%% | %s | %d |\n",
+		result.Seed, result.Candidate, measures.Completed, seconds(measures.MeanCompletion), seconds(measures.P95Completion),
+		ratio(measures.MeanCompletion, measures.LowerBound), measures.MeanSlowdown, 100*measures.Fragmentation,
+		100*measures.MemberFragmentation, measures.SmallSlowdown, measures.LargeSlowdown, measures.JainIndex,
+		100*measures.LostShare, seconds(measures.MaxUrgentStart), result.Violated())
+}
+
+func seconds(duration profile.Duration) string {
+	return fmt.Sprintf("%.1f s", time.Duration(duration).Seconds())
+}
+
+// ratio returns 0 when there is nothing to compare with.
+func ratio(value, reference profile.Duration) float64 {
+	if reference == 0 {
+		return 0
+	}
+	return float64(value) / float64(reference)
+}
--- /dev/null
+++ b/internal/bench/task.go
@@ -0,0 +1,260 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// task is the gang of one job on the fake workers, over all its attempts.
+type task struct {
+	simulation *simulation
+	arrival    *Arrival
+	attempt    fleet.Attempt
+	members    []scheduler.Member
+	// saved is the work that the last confirmed checkpoint holds.
+	saved time.Duration
+	// done is the work done until updated, at the given speed since.
+	done    time.Duration
+	speed   int
+	updated time.Time
+	// placedAt is when the attempt took its accelerators; startedAt is zero until all members run.
+	placedAt, startedAt time.Time
+	firstStart          time.Time
+	evictedAt           time.Time
+	checkpointing       bool
+	lost                bool
+	// generation invalidates the timers set before the last change of plan.
+	generation int
+}
+
+func newTask(simulation *simulation, arrival *Arrival) *task {
+	return &task{simulation: simulation, arrival: arrival}
+}
+
+// plan fires after a delay unless the plan changes before.
+func (task *task) plan(delay time.Duration, fire func()) {
+	generation := task.generation
+	task.simulation.after(delay, func() {
+		if task.generation == generation {
+			fire()
+		}
+	})
+}
+
+func (task *task) accelerators() fleet.Accelerators { return task.arrival.Job.Profile.Shape.Total() }
+
+func (task *task) start(place scheduler.Place) {
+	now := task.simulation.now
+	task.generation++
+	task.attempt, task.members = place.Attempt, place.Members
+	task.placedAt, task.startedAt, task.evictedAt = now, time.Time{}, time.Time{}
+	task.checkpointing, task.lost, task.speed = false, false, fullSpeed
+	if !place.Resume {
+		task.saved = 0
+	}
+	task.done = task.saved
+	task.plan(task.simulation.delay(startDelayMin, startDelayMax), task.started)
+}
+
+func (task *task) started() {
+	now := task.simulation.now
+	task.startedAt, task.updated = now, now
+	if task.firstStart.IsZero() {
+		task.firstStart = now
+	}
+	if task.saved > 0 {
+		// Restoring a checkpoint takes time in which no work is done.
+		task.updated = now.Add(restoreTime)
+		task.simulation.collected.lose(task.accelerators(), restoreTime)
+	}
+	task.simulation.record.started(task.arrival.Job.Key)
+	task.simulation.apply(scheduler.GangStarted{Key: task.arrival.Job.Key, Attempt: task.attempt})
+	if task.checkpointing {
+		task.checkpoint()
+		return
+	}
+	task.planEnd()
+}
+
+// planEnd sets the timer of the natural end: success, or failure of the job or of a worker.
+func (task *task) planEnd() {
+	var failed []fleet.WorkerID
+	for _, member := range task.members {
+		if task.simulation.failing[member.Worker] && !slices.Contains(failed, member.Worker) {
+			failed = append(failed, member.Worker)
+		}
+	}
+	if failed == nil && task.arrival.FailsAlways {
+		failed = []fleet.WorkerID{task.members[0].Worker}
+	}
+	if failed != nil {
+		task.plan(failAfter, func() { task.end(scheduler.EndFailed, failed) })
+		return
+	}
+	left := (task.arrival.RunTime - task.done) * fullSpeed / time.Duration(max(1, task.speed))
+	restoring := max(0, task.updated.Sub(task.simulation.now))
+	task.plan(restoring+left, func() { task.end(scheduler.EndCompleted, nil) })
+}
+
+// advance accounts for the work done until now.
+func (task *task) advance() {
+	now := task.simulation.now
+	if !task.startedAt.IsZero() && now.After(task.updated) {
+		task.done += now.Sub(task.updated) * time.Duration(task.speed) / fullSpeed
+		task.updated = now
+	}
+}
+
+func (task *task) throttle(percent int) {
+	if task.startedAt.IsZero() || task.lost || !task.evictedAt.IsZero() {
+		return
+	}
+	task.advance()
+	task.generation++
+	task.speed = percent
+	task.planEnd()
+}
+
+// evict takes a checkpoint request or a stop. A stop overtakes a checkpoint that is not confirmed.
+func (task *task) evict(step scheduler.EvictStep) {
+	if task.lost {
+		return
+	}
+	task.advance()
+	if task.evictedAt.IsZero() {
+		task.evictedAt = task.simulation.now
+	}
+	if step == scheduler.EvictStop {
+		task.checkpointing = false
+		task.generation++
+		task.plan(task.simulation.delay(stopDelayMin, stopDelayMax), func() { task.end(scheduler.EndStopped, nil) })
+		return
+	}
+	if task.checkpointing {
+		return
+	}
+	task.checkpointing = true
+	if !task.startedAt.IsZero() {
+		task.checkpoint()
+	}
+}
+
+// checkpoint saves the progress; a task that cannot, or ignores the request, goes on.
+func (task *task) checkpoint() {
+	if !task.arrival.Job.Profile.Checkpoint || task.arrival.IgnoresCheckpoint {
+		if task.startedAt.Equal(task.simulation.now) {
+			task.planEnd()
+		}
+		return
+	}
+	task.generation++
+	task.plan(task.arrival.CheckpointTime, func() { task.end(scheduler.EndCheckpointed, nil) })
+}
+
+// lose ends the attempt after a member's worker was lost; its lease may hold until it expires.
+func (task *task) lose(worker fleet.WorkerID) {
+	if task.lost {
+		return
+	}
+	task.advance()
+	task.lost = true
+	task.generation++
+	task.plan(taskLease, func() { task.end(scheduler.EndLost, []fleet.WorkerID{worker}) })
+}
+
+func (task *task) holds(worker fleet.WorkerID) bool {
+	return slices.ContainsFunc(task.members, func(member scheduler.Member) bool { return member.Worker == worker })
+}
+
+// end releases the attempt and tells the scheduler.
+func (task *task) end(result scheduler.EndResult, failed []fleet.WorkerID) {
+	now := task.simulation.now
+	key := task.arrival.Job.Key
+	held := now.Sub(task.placedAt)
+	task.simulation.collected.hold(task.accelerators(), held)
+	if result == scheduler.EndCheckpointed {
+		task.saved = task.done
+	}
+	cancelled := task.simulation.record.jobs[key].cancelled
+	if !task.evictedAt.IsZero() && !cancelled && (result == scheduler.EndCheckpointed || result == scheduler.EndStopped) {
+		task.simulation.collected.evicted++
+		// A stop loses the work since the last checkpoint; each eviction loses the time in which no work is done.
+		task.simulation.collected.lose(task.accelerators(), task.done-task.saved+max(0, now.Sub(task.idleSince())))
+	}
+	used := task.used(now)
+	task.generation++
+	task.members = nil
+	event := scheduler.GangEnded{Key: key, Attempt: task.attempt, Result: result, Failed: failed, Used: used}
+	task.simulation.record.ended(event)
+	task.simulation.apply(event)
+}
+
+// idleSince returns since when an evicted attempt has done no work.
+func (task *task) idleSince() time.Time {
+	if task.startedAt.IsZero() {
+		return task.evictedAt
+	}
+	return task.updated
+}
+
+// used returns the accelerator time of the attempt so far.
+func (task *task) used(now time.Time) fleet.AcceleratorTime {
+	return fleet.AcceleratorTime(now.Sub(task.placedAt)) * fleet.AcceleratorTime(task.accelerators())
+}
+
+func (task *task) finished(verdict scheduler.Verdict) {
+	task.simulation.collected.finish(task, verdict)
+}
+
+// suffer lets an incident happen.
+func (simulation *simulation) suffer(incident Incident) {
+	for _, worker := range incident.Lost {
+		simulation.loseWorker(worker)
+	}
+	for _, worker := range incident.Found {
+		simulation.findWorker(worker)
+	}
+	if incident.Cancelled > 0 {
+		simulation.cancelShare(incident.Cancelled)
+	}
+}
+
+func (simulation *simulation) loseWorker(id fleet.WorkerID) {
+	worker := simulation.record.workers[id]
+	worker.lost = true
+	simulation.record.guarantees.disturb(leaseBound)
+	for _, state := range simulation.record.active {
+		if task := simulation.tasks[state.job.Key]; task.holds(id) {
+			task.lose(id)
+		}
+	}
+	simulation.after(detectionDelay, func() {
+		worker.reported = true
+		simulation.apply(scheduler.WorkerLost{Worker: id})
+	})
+}
+
+func (simulation *simulation) findWorker(id fleet.WorkerID) {
+	worker := simulation.record.workers[id]
+	worker.lost, worker.reported = false, false
+	simulation.record.guarantees.disturb(leaseBound)
+	simulation.apply(scheduler.WorkerFound{Worker: id})
+}
+
+// cancelShare cancels the same jobs for every candidate, as far as they are unfinished.
+func (simulation *simulation) cancelShare(share float64) {
+	random := rand.New(rand.NewPCG(simulation.workload.Seed, 2))
+	for i := range simulation.workload.Arrivals {
+		arrival := &simulation.workload.Arrivals[i]
+		drawn := random.Float64() < share
+		state, ok := simulation.record.jobs[arrival.Job.Key]
+		if drawn && ok && state.phase != phaseFinished {
+			simulation.record.cancelled(arrival.Job.Key)
+			simulation.apply(scheduler.JobCancelled{Key: arrival.Job.Key})
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/workload.go
@@ -0,0 +1,253 @@
+package bench
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+// Names of the workloads.
+const (
+	// WorkloadPlain is a mix of all shapes at 85% load.
+	WorkloadPlain = "plain"
+	// WorkloadFragmentation has many small requests between whole workers and gangs, at 85% load.
+	WorkloadFragmentation = "fragmentation"
+	// WorkloadReclaim fills the fleet with borrowed work and then asks for every guarantee urgently.
+	WorkloadReclaim = "reclaim"
+	// WorkloadFlood has a flood of the least urgent work and then one of the most urgent work.
+	WorkloadFlood = "flood"
+	// WorkloadCalm is WorkloadFlood without the floods.
+	WorkloadCalm = "calm"
+	// WorkloadCallers has a few large callers beside many small ones.
+	WorkloadCallers = "callers"
+	// WorkloadDeclarations has wrong declared run times, infeasible jobs and jobs that fail everywhere.
+	WorkloadDeclarations = "declarations"
+	// WorkloadFailingWorkers has workers that fail every task that they start.
+	WorkloadFailingWorkers = "failing_workers"
+	// WorkloadCancellations cancels most of the jobs at once.
+	WorkloadCancellations = "cancellations"
+	// WorkloadRackLoss loses a rack and gets it back.
+	WorkloadRackLoss = "rack_loss"
+)
+
+const (
+	workloadWindow   = time.Hour
+	workloadWarmUp   = 5 * time.Minute
+	workloadLoad     = 0.85
+	medianRunTime    = 90 * time.Second
+	runTimeSigma     = 1.3
+	shortestRunTime  = 5 * time.Second
+	longestRunTime   = 20 * time.Minute
+	ignoreCheckpoint = 0.05
+	burstShare       = 0.1
+	maxBurst         = 30
+	failAfter        = 4 * time.Second
+)
+
+// epoch is the virtual time at which every simulation starts.
+var epoch = time.Date(2026, time.January, 5, 0, 0, 0, 0, time.UTC)
+
+// Arrival is a job with what only the fake workers know of it.
+type Arrival struct {
+	Job scheduler.Job
+	// RunTime is the work of the job at full speed.
+	RunTime time.Duration
+	// CheckpointTime is how long saving the progress takes.
+	CheckpointTime time.Duration
+	// IgnoresCheckpoint is true for a task that never answers a checkpoint request.
+	IgnoresCheckpoint bool
+	// FailsAlways is true for a job that fails wherever it runs.
+	FailsAlways bool
+	// Flood is true for a job of a flood, which measures of the other work leave out.
+	Flood bool
+	// LargeCaller is true for a job of a caller that submits much more than others.
+	LargeCaller bool
+}
+
+// Incident is something that happens to the fleet or to many jobs at once.
+type Incident struct {
+	After time.Duration
+	// Lost and Found name the workers that stop or start to respond.
+	Lost  []fleet.WorkerID
+	Found []fleet.WorkerID
+	// Cancelled is the share of the unfinished jobs that are cancelled.
+	Cancelled float64
+}
+
+// Workload is what happens to a scheduler; it is the same for every candidate.
+type Workload struct {
+	Name       string
+	Deployment Deployment
+	Seed       uint64
+	// Arrivals are ordered by time of submission.
+	Arrivals  []Arrival
+	Incidents []Incident
+	// FailingWorkers fail every task that they start.
+	FailingWorkers []fleet.WorkerID
+	// RefusedPlaces is the share of attempts that a worker refuses.
+	RefusedPlaces float64
+	// Window is the length of the arrivals; measures of the fleet start at WarmUp.
+	WarmUp, Window time.Duration
+}
+
+// mix is the share of one profile among the jobs of a workload.
+type mix struct {
+	profile fleet.ProfileName
+	weight  float64
+}
+
+var plainMix = []mix{
+	{profileSingle, 0.32}, {profilePair, 0.18}, {profileHalf, 0.14}, {profileWhole, 0.14}, {profileWide, 0.06},
+	{profileGang, 0.04}, {profileOnce, 0.04}, {profileOnceSaved, 0.03}, {profileBulk, 0.03}, {profileUrgent, 0.02},
+}
+
+var fragmentationMix = []mix{
+	{profileSingle, 0.55}, {profilePair, 0.20}, {profileHalf, 0.08}, {profileWhole, 0.08}, {profileWide, 0.04},
+	{profileGang, 0.03}, {profileOnce, 0.02},
+}
+
+// source draws the arrivals of one workload.
+type source struct {
+	random     *rand.Rand
+	deployment Deployment
+	arrivals   []Arrival
+}
+
+var workloadMakers = map[string]func(*source, *Workload){
+	WorkloadPlain:          func(source *source, _ *Workload) { source.addMix(plainMix, workloadLoad) },
+	WorkloadFragmentation:  func(source *source, _ *Workload) { source.addMix(fragmentationMix, workloadLoad) },
+	WorkloadReclaim:        (*source).addReclaim,
+	WorkloadCalm:           func(source *source, _ *Workload) { source.addMix(plainMix, calmLoad) },
+	WorkloadFlood:          (*source).addFlood,
+	WorkloadCallers:        (*source).addCallers,
+	WorkloadDeclarations:   (*source).addDeclarations,
+	WorkloadFailingWorkers: (*source).addFailingWorkers,
+	WorkloadCancellations:  (*source).addCancellations,
+	WorkloadRackLoss:       (*source).addRackLoss,
+}
+
+// WorkloadNames returns the names of all workloads, in order.
+func WorkloadNames() []string {
+	return []string{WorkloadPlain, WorkloadFragmentation, WorkloadReclaim, WorkloadCalm, WorkloadFlood, WorkloadCallers,
+		WorkloadDeclarations, WorkloadFailingWorkers, WorkloadCancellations, WorkloadRackLoss}
+}
+
+// NewWorkload draws a workload from a seed. It returns an error for an unknown name.
+func NewWorkload(deployment Deployment, name string, seed uint64) (Workload, error) {
+	fill, ok := workloadMakers[name]
+	if !ok {
+		return Workload{}, errors.Errorf("workload %q is none of %v", name, WorkloadNames())
+	}
+	source := &source{random: rand.New(rand.NewPCG(seed, 0)), deployment: deployment}
+	workload := Workload{Name: name, Deployment: deployment, Seed: seed, WarmUp: workloadWarmUp, Window: workloadWindow}
+	fill(source, &workload)
+	slices.SortStableFunc(source.arrivals, func(a, b Arrival) int {
+		return a.Job.Submitted.Compare(b.Job.Submitted)
+	})
+	workload.Arrivals = source.arrivals
+	return workload, nil
+}
+
+// addMix adds jobs until their work is the given share of the fleet. They arrive at random times of the window,
+// alone or in bursts of one caller's jobs of one profile.
+func (source *source) addMix(shares []mix, load float64) {
+	capacity := fleet.Accelerators(len(source.deployment.Workers)) * workerAccelerators
+	wanted := load * float64(capacity) * workloadWindow.Seconds()
+	for wanted > 0 {
+		at := time.Duration(source.random.Float64() * float64(workloadWindow))
+		organisation, profile := source.organisation(), source.profile(shares)
+		burst := 1
+		if source.random.Float64() < burstShare {
+			burst += source.random.IntN(maxBurst)
+		}
+		var caller fleet.CallerID
+		for range burst {
+			arrival := source.add(organisation, profile, at, source.runTime(medianRunTime))
+			if caller == "" {
+				caller = arrival.Job.Caller
+			}
+			arrival.Job.Caller = caller
+			wanted -= arrival.work()
+		}
+	}
+}
+
+// add adds one job and returns it for changes; the pointer is valid until the next call.
+func (source *source) add(organisation fleet.OrganisationID, name fleet.ProfileName, at, runTime time.Duration) *Arrival {
+	used, ok := source.deployment.Config.Lookup(organisation, name)
+	if !ok {
+		panic("bench: no profile " + string(name))
+	}
+	source.arrivals = append(source.arrivals, Arrival{
+		Job: scheduler.Job{
+			Key: fleet.JobKey{
+				Organisation: organisation,
+				Job:          fleet.JobID(fmt.Sprintf("j%05d", len(source.arrivals))),
+			},
+			Caller:          fleet.CallerID(fmt.Sprintf("c%d", source.random.IntN(5))),
+			Profile:         *used,
+			Submitted:       epoch.Add(at),
+			DeclaredRunTime: runTime,
+		},
+		RunTime:           runTime,
+		CheckpointTime:    300*time.Millisecond + time.Duration(source.random.Int64N(int64(1500*time.Millisecond))),
+		IgnoresCheckpoint: source.random.Float64() < ignoreCheckpoint,
+	})
+	return &source.arrivals[len(source.arrivals)-1]
+}
+
+// organisation draws one; the large ones submit 70% of the work.
+func (source *source) organisation() fleet.OrganisationID {
+	shares := []float64{0.35, 0.35, 0.15, 0.15}
+	return source.deployment.Organisations[source.index(shares)]
+}
+
+func (source *source) profile(shares []mix) fleet.ProfileName {
+	weights := make([]float64, len(shares))
+	for i, share := range shares {
+		weights[i] = share.weight
+	}
+	return shares[source.index(weights)].profile
+}
+
+// index draws an index by weight.
+func (source *source) index(weights []float64) int {
+	var sum float64
+	for _, weight := range weights {
+		sum += weight
+	}
+	drawn := source.random.Float64() * sum
+	for i, weight := range weights {
+		if drawn -= weight; drawn < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// runTime draws from a log-normal distribution, cut at both ends.
+func (source *source) runTime(median time.Duration) time.Duration {
+	drawn := time.Duration(float64(median) * math.Exp(runTimeSigma*source.random.NormFloat64()))
+	return min(max(drawn, shortestRunTime), longestRunTime).Round(time.Millisecond)
+}
+
+// work returns the accelerator seconds of the job.
+func (arrival *Arrival) work() float64 {
+	return float64(arrival.Job.Profile.Shape.Total()) * arrival.RunTime.Seconds()
+}
+
+// largestFirst orders shapes by total accelerators, then by member size.
+func largestFirst(a, b fleet.Shape) int {
+	return cmp.Or(cmp.Compare(b.Total(), a.Total()), cmp.Compare(b.Accelerators, a.Accelerators))
+}
+
+func urgent(job scheduler.Job) bool { return job.Profile.Urgency == profile.UrgencyUrgent }
