--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -13,10 +13,9 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall"
 	"github.com/quetzalstall/quetzalstall/examples"
 	"github.com/quetzalstall/quetzalstall/internal/demo"
-	"github.com/quetzalstall/quetzalstall/internal/node"
-	"github.com/quetzalstall/quetzalstall/internal/settings"
 	"github.com/quetzalstall/quetzalstall/internal/standin/deployment"
 )
 
@@ -48,11 +47,11 @@
 		if *path == "" {
 			return errors.Wrap(errUsage, "needs -settings")
 		}
-		loaded, err := settings.Load(*path)
+		loaded, err := quetzalstall.LoadSettings(*path)
 		if err != nil {
 			return err
 		}
-		served := node.New(loaded)
+		served := quetzalstall.NewNode(loaded)
 		served.Logger = newLogger(console, loaded.LogLevel)
 		served.Seed = uint64(time.Now().UnixNano())
 		ctx, cancel := untilSignal(ctx, console)
--- /dev/null
+++ b/quetzalstall.go
@@ -0,0 +1,23 @@
+// Package quetzalstall runs an entry process of the scheduler for multi-accelerator jobs.
+package quetzalstall
+
+import (
+	"github.com/quetzalstall/quetzalstall/internal/node"
+	"github.com/quetzalstall/quetzalstall/internal/settings"
+)
+
+// Settings are those of one entry process.
+type Settings = settings.Settings
+
+// Node is one entry process. Its exported fields are set before Run; Close waits until Run has returned.
+type Node = node.Node
+
+// LoadSettings reads and checks a settings file. The error lists every problem with its path.
+func LoadSettings(path string) (Settings, error) {
+	return settings.Load(path)
+}
+
+// NewNode returns an entry process with settings that LoadSettings accepted.
+func NewNode(settings Settings) *Node {
+	return node.New(settings)
+}
