--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -26,6 +26,8 @@
 	// jobGap and requestGap are the mean times between two jobs and between two requests.
 	jobGap     = 120 * time.Millisecond
 	requestGap = 12 * time.Millisecond
+	// warmUpPrefix starts the ids of the jobs that show that an owner has taken over.
+	warmUpPrefix = "warm-up-"
 )
 
 // Demo is one run. Its exported fields are set before Run.
@@ -47,6 +49,7 @@
 	jobs     *jobLoad
 	requests *requestLoad
 	config   *configWatch
+	warmUps  *jobMaker
 	result   *Result
 }
 
@@ -108,6 +111,7 @@
 	demo.jobs = newJobLoad(demo.balancer)
 	demo.requests = newRequestLoad(demo.balancer)
 	demo.config = &configWatch{}
+	demo.warmUps = &jobMaker{random: demo.random(4), organisations: example.Organisations}
 	for index := range example.Fleet.Entries {
 		if err := demo.entries.start(index); err != nil {
 			return err
@@ -123,16 +127,17 @@
 	return demo.warmUp(ctx)
 }
 
-// warmUp submits small jobs until one has completed, so that the load begins when the first owner has taken over.
+// warmUp submits small jobs until one has completed, so that what follows meets an owner that has taken over.
 func (demo *Demo) warmUp(ctx context.Context) error {
-	maker := &jobMaker{random: demo.random(4), organisations: demo.example.Organisations}
+	maker := demo.warmUps
+	before := demo.jobs.completedWith(warmUpPrefix)
 	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, pollInterval) {
 		job, request := maker.next()
-		job.key.Job = fleet.JobID(fmt.Sprintf("warm-up-%d", maker.made))
+		job.key.Job = fleet.JobID(fmt.Sprintf("%s%d", warmUpPrefix, maker.made))
 		request.JobId = string(job.key.Job)
 		demo.jobs.start(ctx, job, request, 0)
-		if demo.jobs.completed() > 0 {
-			demo.say("the first job has completed")
+		if demo.jobs.completedWith(warmUpPrefix) > before {
+			demo.say("a job of the warm-up has completed")
 			return nil
 		}
 	}
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -174,13 +175,13 @@
 	return count
 }
 
-// completed returns the number of jobs that have completed.
-func (load *jobLoad) completed() int {
+// completedWith returns the number of jobs that have completed and whose ids start with prefix.
+func (load *jobLoad) completedWith(prefix string) int {
 	load.mu.Lock()
 	defer load.mu.Unlock()
 	count := 0
-	for _, job := range load.told {
-		if job.outcome == callerv1.Outcome_OUTCOME_COMPLETED {
+	for key, job := range load.told {
+		if job.outcome == callerv1.Outcome_OUTCOME_COMPLETED && strings.HasPrefix(string(key.Job), prefix) {
 			count++
 		}
 	}
--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -27,7 +27,11 @@
 }
 
 // probe submits as many urgent jobs as fit into the guarantee of the first organisation that has an urgent profile.
+// The bound holds with an owner that has taken over, so one is awaited.
 func (demo *Demo) probe(ctx context.Context) error {
+	if err := demo.warmUp(ctx); err != nil {
+		return err
+	}
 	for _, organisation := range demo.example.Organisations {
 		if chosen, count := guaranteedUrgent(organisation); count > 0 {
 			demo.submitProbes(ctx, organisation, chosen, count)
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -70,8 +70,7 @@
 				RequestId: message.RequestId, Profile: message.Profile, Caller: message.Caller, Body: message.Body,
 				FirstSentUnixMs: message.FirstSentUnixMs, Resubmission: true,
 			}
-			// The answer to the repetition is only compared with the request; the first one counts as told.
-			load.send(ctx, &toldRequest{id: request.id}, repeated)
+			load.send(ctx, request, repeated)
 		}()
 	}
 }
@@ -127,11 +126,30 @@
 	load.tell(request, callerv1.Outcome_OUTCOME_UNKNOWN, "connection_ended")
 }
 
+// weight orders outcomes by what they tell of a request that was sent twice: a copy that was refused says nothing of
+// the other one.
+func weight(outcome callerv1.Outcome) int {
+	switch outcome {
+	case callerv1.Outcome_OUTCOME_COMPLETED:
+		return 4
+	case callerv1.Outcome_OUTCOME_FAILED:
+		return 3
+	case callerv1.Outcome_OUTCOME_UNKNOWN:
+		return 2
+	case callerv1.Outcome_OUTCOME_NOT_RUN:
+		return 1
+	}
+	return 0
+}
+
+// tell keeps what a caller was told; of two copies it keeps the outcome that tells more.
 func (load *requestLoad) tell(request *toldRequest, outcome callerv1.Outcome, kind string) {
 	load.mu.Lock()
 	defer load.mu.Unlock()
-	request.outcome = outcome
-	request.kind = kind
+	if weight(outcome) > weight(request.outcome) {
+		request.outcome = outcome
+		request.kind = kind
+	}
 }
 
 // requestMaker draws requests of a deployment.
