--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -56,7 +56,7 @@
 	return Fit{Base: (sumY - slope*sumX) / count, Slope: slope}
 }
 
-// Costs of a point, for FitOf. CPUMicros is in microseconds, the others in bytes.
+// CPUMicros returns the processor time of a point in microseconds.
 func CPUMicros(point Point) float64 { return float64(point.CPU) / float64(time.Microsecond) }
 
 // WireBytes returns the bytes of a point.
--- a/internal/demo/failures.go
+++ b/internal/demo/failures.go
@@ -119,7 +119,6 @@
 	mu       sync.Mutex
 	revision fleet.Revision
 	at       time.Time
-	edits    int
 	// problems describes each revision that went back or came into force too late.
 	problems []string
 }
