--- a/internal/target/limits_test.go
+++ b/internal/target/limits_test.go
@@ -41,15 +41,23 @@
 	return outcomes
 }
 
-func (cluster *cluster) checkLimits() {
-	cluster.t.Helper()
+// breaches returns every target whose limits were exceeded.
+func (cluster *cluster) breaches() (breaches []string) {
 	for _, target := range cluster.targets {
 		usage := cluster.record.Usage(target.ID)
 		if usage.HighestSlots > target.Slots || usage.HighestConnections > target.Connections ||
 			usage.RefusedSlots+usage.RefusedConnections > 0 {
-			cluster.t.Errorf("%s: limits exceeded: %+v", target.ID, usage)
+			breaches = append(breaches, fmt.Sprintf("%s: limits exceeded: %+v", target.ID, usage))
 		}
 	}
+	return breaches
+}
+
+func (cluster *cluster) checkLimits() {
+	cluster.t.Helper()
+	for _, breach := range cluster.breaches() {
+		cluster.t.Error(breach)
+	}
 }
 
 // Guards against more slots or connections in use than a target has, whatever each process believes: two have no
