--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -70,6 +70,21 @@
 	group.exhausted[refusing.VM.ID] = time.Now().Add(group.router.random.jitter(exhaustedTime))
 }
 
+// follow gives waiting requests to a peer that has just ended one: the slot is free now, while the heartbeat that
+// says so comes later. One more probes for further free slots, unless the peer refused just now.
+func (group *group) follow(to *peer.Peer) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.dispatch()
+	grants := 1
+	if !time.Now().Before(group.exhausted[to.VM.ID]) {
+		grants++
+	}
+	for range min(grants, group.queue.total) {
+		group.queue.pop().granted <- grant{peer: to}
+	}
+}
+
 // forwardForSlot asks a peer to run a task on a slot of its own. It reports refused when the peer made no attempt
 // at a target, so that asking another one adds no load there.
 func (router *Router) forwardForSlot(task *task, group *group, to *peer.Peer) (response *callerv1.CallResponse, refused bool) {
@@ -80,6 +95,9 @@
 		Hops:         1,
 	}, group.longestTime())
 	if !notRun {
+		if response.GetOutcome() != callerv1.Outcome_OUTCOME_UNKNOWN {
+			group.follow(to)
+		}
 		return response, false
 	}
 	if response.GetKind() == string(fault.NoTarget) {
--- a/internal/target/harness_test.go
+++ b/internal/target/harness_test.go
@@ -170,12 +170,22 @@
 	next := cluster.newProcess(vm, time.Now())
 	cluster.processes[vm] = next
 	cluster.mu.Unlock()
-	former.dead.Store(true)
-	former.cancel()
-	for _, group := range former.allGroups() {
+	former.end()
+	cluster.start(next)
+}
+
+// end ends a process at once: nothing it still does reaches anyone.
+func (process *process) end() {
+	process.dead.Store(true)
+	process.cancel()
+	for _, group := range process.allGroups() {
 		group.closePools()
 	}
-	cluster.start(next)
+}
+
+func (process *process) seat() peer.Seat {
+	seat, _, _ := process.View.OwnSeat()
+	return seat
 }
 
 func (cluster *cluster) process(vm int) *process {
