Bound the search for packings and clashes

Cause: a refusal at 12,000 workers and 210 organisations took 102 s for one configuration, since clashes were searched for each organisation with a large effort.

Clashes are searched for the first 3 organisations that are short, with 4 orders of cells each; a packing tries 24 orders beyond the last improvement.

--- a/pkg/scheduler/admit.go
+++ b/pkg/scheduler/admit.go
@@ -115,7 +115,7 @@
 				}
 			}
 		}
-		core.pristine = packer(core.config, listed)
+		core.pristine = packer(core.config, listed, packRounds)
 	}
 	if question.tenant != anyTenant {
 		question.tenant = core.pristine.organisation(core.organisations[question.tenant].id).tenant
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -29,6 +29,7 @@
 	bindVersion, bindTried uint64
 	// cellsMoved is set when lists that follow from the cells are out of date.
 	cellsMoved bool
+	packRounds int
 	// repack is set when a repacking of all cells may reduce the shortfall.
 	repack bool
 
@@ -63,14 +64,15 @@
 func NewCore(settings Settings) *Core {
 	settings = settings.withDefaults()
 	return &Core{
-		settings:  settings,
-		workers:   map[fleet.WorkerID]*worker{},
-		zoneOf:    map[fleet.DataCentreID]*zone{},
-		byID:      map[fleet.OrganisationID]*organisation{},
-		jobs:      map[fleet.JobKey]*entry{},
-		feasible:  map[feasibility]bool{},
-		exhausted: map[searchKey]uint64{},
-		history:   newHistory(settings.History),
+		settings:   settings,
+		packRounds: packRounds,
+		workers:    map[fleet.WorkerID]*worker{},
+		zoneOf:     map[fleet.DataCentreID]*zone{},
+		byID:       map[fleet.OrganisationID]*organisation{},
+		jobs:       map[fleet.JobKey]*entry{},
+		feasible:   map[feasibility]bool{},
+		exhausted:  map[searchKey]uint64{},
+		history:    newHistory(settings.History),
 	}
 }
 
--- a/pkg/scheduler/pack.go
+++ b/pkg/scheduler/pack.go
@@ -30,27 +30,56 @@
 	Clashes []fleet.OrganisationID `json:"clashes,omitempty"`
 }
 
-// packEffort bounds the steps of one search for a packing, for each worker and cell.
-const packEffort = 400
+// Bounds of a search for a packing.
+const (
+	// packRounds bounds the orders of cells that are tried, unless a round improves on the best.
+	packRounds = 24
+	// clashRounds bounds them in the search for clashes, which packs many times.
+	clashRounds = 4
+	// clashSearches bounds the organisations for which clashes are searched one by one.
+	clashSearches = 3
+)
 
 // Pack binds all guaranteed shapes of a configuration to the workers that are not leaving. The
 // configuration is acceptable if there is no shortfall. Equal arguments give equal results.
 func Pack(config *profile.Config, workers []fleet.Worker) (Packing, []Shortfall) {
-	core := packer(config, workers)
+	core := packer(config, workers, packRounds)
 	var packing Packing
 	for _, cell := range core.cells {
 		packing.Cells = append(packing.Cells, cell.export())
 	}
 	shortfalls := core.shortfalls()
+	nameClashes(config, workers, shortfalls)
+	return packing, shortfalls
+}
+
+// nameClashes fills in the clashes of shortfalls. Only the first organisations get a set of their own; the
+// others get the sets of those.
+func nameClashes(config *profile.Config, workers []fleet.Worker, shortfalls []Shortfall) {
+	found := map[fleet.OrganisationID][]fleet.OrganisationID{}
+	var all []fleet.OrganisationID
 	for i := range shortfalls {
-		shortfalls[i].Clashes = clashes(config, workers, shortfalls[i].Organisation)
+		of := shortfalls[i].Organisation
+		if _, known := found[of]; !known && len(found) < clashSearches {
+			found[of] = clashes(config, workers, of)
+			all = append(all, found[of]...)
+		}
+	}
+	for i := range shortfalls {
+		of := shortfalls[i].Organisation
+		shortfalls[i].Clashes = found[of]
+		if len(found[of]) == 0 {
+			union := append(slices.Clone(all), of)
+			slices.Sort(union)
+			shortfalls[i].Clashes = slices.Compact(union)
+		}
 	}
-	return packing, shortfalls
 }
 
 // packer returns a core without jobs that has bound the cells of a configuration.
-func packer(config *profile.Config, workers []fleet.Worker) *Core {
+func packer(config *profile.Config, workers []fleet.Worker, rounds int) *Core {
 	core := NewCore(Settings{})
+	core.packRounds = rounds
 	core.fleetChanged(workers)
 	core.configChanged(config)
 	core.bindCells()
@@ -102,7 +131,7 @@
 		for _, id := range append(slices.Clone(ids), of) {
 			part.Organisations[id] = config.Organisations[id]
 		}
-		return len(packer(part, workers).unbound) == 0
+		return len(packer(part, workers, clashRounds).unbound) == 0
 	}
 	for size := len(others); size > 0; size /= 2 {
 		for from := 0; from < len(others); {
@@ -127,12 +156,12 @@
 	best, bestMissing := before, missingIn(before)
 	order := slices.Clone(core.cells)
 	slices.SortStableFunc(order, moreDemanding)
-	bound := core.steps + packEffort*uint64(core.present+len(core.cells))
-	for bestMissing > 0 && core.steps < bound {
+	for rounds := core.packRounds; bestMissing > 0 && rounds > 0; rounds-- {
 		core.unbindAll()
 		left := core.bindInOrder(order)
 		if found := core.placements(); missingIn(found) < bestMissing {
 			best, bestMissing = found, missingIn(found)
+			rounds = core.packRounds
 		}
 		next := promote(order, left)
 		if slices.Equal(next, order) {
