--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -31,7 +31,7 @@
 
 // Candidates returns the core and the baselines.
 func Candidates() []Candidate {
-	return append(coreCandidates(), Baselines()...)
+	return append([]Candidate{Core()}, Baselines()...)
 }
 
 // Run measures every selected candidate on every selected workload and writes the reports. It returns an error
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,218 @@
+package bench
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/knownred"
+)
+
+// Bounds of section 1.2 of the design page.
+const (
+	maxOfFIFO           = 0.6
+	maxOfBound          = 1.25
+	maxFragmentation    = 0.05
+	minFloodThroughput  = 0.95
+	maxFloodP95         = 1.1
+	maxSmallToLarge     = 1.0
+	minJainIndex        = 0.95
+	maxLostShare        = 0.02
+	maxUrgentStartBound = 4700 * time.Millisecond
+)
+
+// runs holds the results that several tests share.
+var runs sync.Map
+
+// simulated returns the results of the default seeds.
+func simulated(t *testing.T, deployment, workload string, candidate Candidate) []Result {
+	t.Helper()
+	key := fmt.Sprint(deployment, workload, candidate.Name)
+	run, _ := runs.LoadOrStore(key, sync.OnceValues(func() (Report, error) {
+		return Run(Settings{
+			Candidates: []Candidate{candidate}, Deployments: []string{deployment}, Workloads: []string{workload},
+		})
+	}))
+	report, err := run.(func() (Report, error))()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report.Results
+}
+
+// sum adds one measure over seeds; ratios of sums weigh every job equally.
+func sum(results []Result, measure func(Measures) float64) float64 {
+	total := 0.0
+	for _, result := range results {
+		total += measure(result.Measures)
+	}
+	return total
+}
+
+func completion(measures Measures) float64 { return time.Duration(measures.MeanCompletion).Seconds() }
+
+func bound(measures Measures) float64 { return time.Duration(measures.LowerBound).Seconds() }
+
+// each runs a parallel subtest for each deployment and workload, unless it is known red.
+func each(t *testing.T, deployments, workloads []string, test func(t *testing.T, deployment, workload string)) {
+	for _, deployment := range deployments {
+		for _, workload := range workloads {
+			t.Run(deployment+"/"+workload, func(t *testing.T) {
+				knownred.Check(t)
+				t.Parallel()
+				test(t, deployment, workload)
+			})
+		}
+	}
+}
+
+// TestInvariants guards against every rule of the record being broken by the core, on every seed.
+func TestInvariants(t *testing.T) {
+	each(t, DeploymentNames(), WorkloadNames(), func(t *testing.T, deployment, workload string) {
+		for _, result := range simulated(t, deployment, workload, Core()) {
+			if result.Measures.Completed == 0 {
+				t.Errorf("seed %d: nothing completed", result.Seed)
+			}
+			for _, violation := range result.Violations {
+				t.Errorf("seed %d: %s after %s: %s", result.Seed, violation.Rule, time.Duration(violation.After), violation.Detail)
+			}
+		}
+	})
+}
+
+// TestUrgentStart guards against slow reclaim, on every seed.
+func TestUrgentStart(t *testing.T) {
+	each(t, DeploymentNames(), []string{WorkloadReclaim, WorkloadFlood}, func(t *testing.T, deployment, workload string) {
+		for _, result := range simulated(t, deployment, workload, Core()) {
+			slowest := time.Duration(result.Measures.MaxUrgentStart)
+			if result.Measures.UrgentStarts == 0 || slowest > maxUrgentStartBound {
+				t.Errorf("seed %d: slowest of %d urgent starts %s, bound %s", result.Seed, result.Measures.UrgentStarts,
+					slowest, maxUrgentStartBound)
+			}
+		}
+	})
+}
+
+// TestCompletionAgainstFIFO guards against a policy that does not repay its complexity.
+func TestCompletionAgainstFIFO(t *testing.T) {
+	each(t, []string{ReedWorks}, []string{WorkloadPlain, WorkloadFragmentation}, func(t *testing.T, deployment, workload string) {
+		core := sum(simulated(t, deployment, workload, Core()), completion)
+		fifo := sum(simulated(t, deployment, workload, Baselines()[0]), completion)
+		if core > maxOfFIFO*fifo {
+			t.Errorf("mean completion %.3f of FIFO, bound %.2f", core/fifo, maxOfFIFO)
+		}
+	})
+}
+
+// TestCompletionAgainstBound guards against jobs that wait although pooled accelerators would hold them.
+func TestCompletionAgainstBound(t *testing.T) {
+	each(t, []string{ReedWorks}, []string{WorkloadPlain, WorkloadFragmentation}, func(t *testing.T, deployment, workload string) {
+		results := simulated(t, deployment, workload, Core())
+		if got := sum(results, completion) / sum(results, bound); got > maxOfBound {
+			t.Errorf("mean completion %.3f of the lower bound, at most %.2f", got, maxOfBound)
+		}
+	})
+}
+
+// TestFragmentation guards against small work scattered over the fleet at 85% load.
+func TestFragmentation(t *testing.T) {
+	each(t, DeploymentNames(), []string{WorkloadPlain, WorkloadFragmentation}, func(t *testing.T, deployment, workload string) {
+		for _, result := range simulated(t, deployment, workload, Core()) {
+			if got := result.Measures.Fragmentation; got > maxFragmentation {
+				t.Errorf("seed %d: fragmentation %.3f, by member %.3f, bound %.2f", result.Seed, got,
+					result.Measures.MemberFragmentation, maxFragmentation)
+			}
+		}
+	})
+}
+
+// TestFlood guards against one organisation's flood slowing down the work of the others.
+func TestFlood(t *testing.T) {
+	each(t, DeploymentNames(), []string{WorkloadFlood}, func(t *testing.T, deployment, workload string) {
+		calm := simulated(t, deployment, WorkloadCalm, Core())
+		flood := simulated(t, deployment, workload, Core())
+		throughput := func(measures Measures) float64 { return float64(measures.OthersCompleted) }
+		if got := sum(flood, throughput) / sum(calm, throughput); got < minFloodThroughput {
+			t.Errorf("others keep %.3f of their throughput, bound %.2f", got, minFloodThroughput)
+		}
+		p95 := func(measures Measures) float64 { return time.Duration(measures.OthersP95Completion).Seconds() }
+		if got := sum(flood, p95) / sum(calm, p95); got > maxFloodP95 {
+			t.Errorf("others' p95 completion %.3f times that without a flood, bound %.2f", got, maxFloodP95)
+		}
+	})
+}
+
+// TestSmallCallers guards against small callers being outranked by large ones.
+func TestSmallCallers(t *testing.T) {
+	each(t, DeploymentNames(), []string{WorkloadCallers}, func(t *testing.T, deployment, workload string) {
+		for _, result := range simulated(t, deployment, workload, Core()) {
+			measures := result.Measures
+			if got := measures.SmallSlowdown / measures.LargeSlowdown; got > maxSmallToLarge {
+				t.Errorf("seed %d: slowdown of small to large callers %.3f, bound %.1f", result.Seed, got, maxSmallToLarge)
+			}
+			if measures.JainIndex < minJainIndex {
+				t.Errorf("seed %d: Jain index %.3f, bound %.2f", result.Seed, measures.JainIndex, minJainIndex)
+			}
+		}
+	})
+}
+
+// TestLostShare guards against reclaim and compaction that cost more than they gain.
+func TestLostShare(t *testing.T) {
+	each(t, DeploymentNames(), WorkloadNames(), func(t *testing.T, deployment, workload string) {
+		results := simulated(t, deployment, workload, Core())
+		lost := sum(results, func(measures Measures) float64 { return measures.LostShare })
+		if got := lost / float64(len(results)); got > maxLostShare {
+			t.Errorf("%.4f of the accelerator time lost, bound %.2f", got, maxLostShare)
+		}
+	})
+}
+
+// TestDeterminism guards against a verdict that changes from run to run.
+func TestDeterminism(t *testing.T) {
+	t.Parallel()
+	deployment, _ := deploymentNamed(Groupement)
+	workload, err := NewWorkload(deployment, WorkloadDeclarations, 4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := Simulate(workload, Core()).Measures, Simulate(workload, Core()).Measures
+	if first != second {
+		t.Errorf("two runs differ:\n%+v\n%+v", first, second)
+	}
+}
+
+// TestPooledBound guards against a bound that is above what is possible.
+func TestPooledBound(t *testing.T) {
+	deployment, _ := deploymentNamed(ReedWorks)
+	source := &source{deployment: deployment, random: newRandom(1)}
+	whole := deployment.Organisations[0]
+	for range 2 * len(deployment.Workers) {
+		source.add(whole, profileWhole, 0, time.Minute)
+	}
+	workload := Workload{Deployment: deployment, Arrivals: source.arrivals}
+	// Half of the jobs take one minute, the other half wait for them.
+	if got := time.Duration(PooledBound(workload)).Round(time.Second); got != 90*time.Second {
+		t.Errorf("bound %s, want 1m30s", got)
+	}
+}
+
+// TestReportFiles guards against a report that cannot be written.
+func TestReportFiles(t *testing.T) {
+	t.Parallel()
+	directory := t.TempDir()
+	_, err := Run(Settings{
+		Deployments: []string{ReedWorks}, Workloads: []string{WorkloadCalm}, Seeds: []uint64{1}, Output: directory,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"report.json", "report.md", "reed_works-calm-completion.svg", "reed_works-calm-callers.svg"} {
+		if info, err := os.Stat(filepath.Join(directory, name)); err != nil || info.Size() == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -88,6 +88,11 @@
 	return deployment
 }
 
+// flooder returns the organisation that floods the fleet: the last, a small one.
+func (deployment Deployment) flooder() fleet.OrganisationID {
+	return deployment.Organisations[len(deployment.Organisations)-1]
+}
+
 // newConfig guarantees 30 of the 50 workers: 12 and 10 to the large organisations, 4 to each small one.
 func newConfig(organisations []fleet.OrganisationID, memoryPerAccelerator fleet.Bytes) *profile.Config {
 	config := &profile.Config{Revision: 1, Organisations: map[fleet.OrganisationID]*profile.Organisation{}}
--- a/internal/bench/guarantee.go
+++ b/internal/bench/guarantee.go
@@ -133,10 +133,7 @@
 func (guarantees *guaranteeRecord) count(demand *demand) (asked, running int) {
 	occupied := 0
 	others := map[fleet.Shape]int{}
-	for _, state := range guarantees.record.active {
-		if state.job.Key.Organisation != demand.organisation {
-			continue
-		}
+	for _, state := range guarantees.record.owned[demand.organisation] {
 		shape := *state.job.Profile.Shape
 		if shape == demand.guarantee.Shape && !state.cancelled && (!demand.urgentOnly || urgent(state.job)) {
 			asked++
--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -62,8 +62,10 @@
 	MemberFragmentation float64 `json:"member_fragmentation"`
 	// Utilisation is the mean share of accelerators in use over the window.
 	Utilisation float64 `json:"utilisation"`
-	// OthersCompleted counts jobs outside floods that completed within the window.
-	OthersCompleted int `json:"others_completed"`
+	// OthersCompleted counts the jobs of the organisations that do not flood that completed within the window, and
+	// OthersP95Completion is over all their completed jobs.
+	OthersCompleted     int              `json:"others_completed"`
+	OthersP95Completion profile.Duration `json:"others_p95_completion"`
 	// SmallSlowdown and LargeSlowdown are the mean slowdowns of the callers of each size.
 	SmallSlowdown float64 `json:"small_slowdown"`
 	LargeSlowdown float64 `json:"large_slowdown"`
@@ -197,16 +199,23 @@
 
 func (collector *collector) measureCompletion(measures *Measures, completed []Outcome) {
 	var times []time.Duration
+	var others []time.Duration
 	var slowdowns []float64
+	flooder := collector.workload.Deployment.flooder()
 	for _, outcome := range completed {
 		times = append(times, outcome.Completion)
 		slowdowns = append(slowdowns, outcome.Slowdown())
+		if outcome.Organisation == flooder {
+			continue
+		}
+		others = append(others, outcome.Completion)
 		if outcome.FinishedAfter <= collector.workload.Window {
 			measures.OthersCompleted++
 		}
 	}
 	measures.MeanCompletion = profile.Duration(mean(times))
 	measures.P95Completion = profile.Duration(quantile(times, 0.95))
+	measures.OthersP95Completion = profile.Duration(quantile(others, 0.95))
 	measures.MeanSlowdown = mean(slowdowns)
 	measures.P95Slowdown = quantile(slowdowns, 0.95)
 }
--- a/internal/bench/packing.go
+++ b/internal/bench/packing.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -24,6 +25,8 @@
 	cells map[fleet.WorkerID]map[fleet.OrganisationID]fleet.Accelerators
 	// blocked sums, by worker, the larger of fixed and cells over the organisations.
 	blocked map[fleet.WorkerID]fleet.Accelerators
+	// random makes some choices of groups at random; nil always takes the best.
+	random *rand.Rand
 }
 
 // checkReclaimable checks that a non-preemptible job that was just placed leaves room for all guarantees.
@@ -51,10 +54,12 @@
 	cells := record.guaranteedCells()
 	random := rand.New(rand.NewPCG(1, 1))
 	for try := range packingTries {
+		packing := newPacking(record, fixed)
 		if try > 0 {
+			packing.random = random
 			random.Shuffle(len(cells), func(i, j int) { cells[i], cells[j] = cells[j], cells[i] })
 		}
-		if newPacking(record, fixed).placeAll(cells) {
+		if packing.placeAll(cells) {
 			return true
 		}
 	}
@@ -99,9 +104,10 @@
 	return true
 }
 
-// place puts one cell into the group of adjacent workers that has the least room for it.
+// place puts one cell into the group of adjacent workers that has the most work of its organisation that must not
+// move, and among equals the least room.
 func (packing *packing) place(cell cell) bool {
-	room := map[string]int{}
+	room, own := map[string]int{}, map[string]fleet.Accelerators{}
 	var groups []string
 	for _, worker := range packing.record.order {
 		group := worker.groups[cell.shape.Adjacency]
@@ -109,22 +115,26 @@
 			groups = append(groups, group)
 		}
 		room[group] += int(packing.available(worker, cell.organisation) / cell.shape.Accelerators)
-	}
-	best := ""
-	for _, group := range groups {
-		if room[group] >= cell.shape.Members && (best == "" || room[group] < room[best]) {
-			best = group
+		if packing.cells[worker.worker.ID][cell.organisation] == 0 {
+			own[group] += packing.fixed[worker.worker.ID][cell.organisation]
 		}
 	}
-	if best == "" {
+	groups = slices.DeleteFunc(groups, func(group string) bool { return room[group] < cell.shape.Members })
+	if len(groups) == 0 {
 		return false
 	}
+	best := slices.MinFunc(groups, func(a, b string) int {
+		return cmp.Or(cmp.Compare(own[b], own[a]), cmp.Compare(room[a], room[b]))
+	})
+	if packing.random != nil && packing.random.IntN(3) == 0 {
+		best = groups[packing.random.IntN(len(groups))]
+	}
 	packing.fill(cell, best)
 	return true
 }
 
 // available returns what an organisation's next cell may cover on a worker. Its own non-preemptible work may lie
-// inside its cells.
+// inside its cells. Leases unknown to the scheduler do not count, since they end within a task lease.
 func (packing *packing) available(worker *workerRecord, organisation fleet.OrganisationID) fleet.Accelerators {
 	if worker.lost || worker.gone || worker.worker.Leaving {
 		return 0
@@ -132,7 +142,7 @@
 	id := worker.worker.ID
 	own := max(packing.fixed[id][organisation], packing.cells[id][organisation])
 	others := packing.blocked[id] - own
-	return worker.worker.Accelerators - worker.foreign - others - packing.cells[id][organisation]
+	return worker.worker.Accelerators - others - packing.cells[id][organisation]
 }
 
 // fill takes the members of a cell from the workers of a group, those with the organisation's own work first.
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -71,6 +71,8 @@
 	begun bool
 	// saved is true while the last begun attempt ended with a confirmed checkpoint.
 	saved bool
+	// restorable is true once any attempt ended with a confirmed checkpoint.
+	restorable bool
 	// completed is true once an attempt completed.
 	completed bool
 	cancelled bool
@@ -102,7 +104,9 @@
 	order []*workerRecord
 	jobs  map[fleet.JobKey]*jobRecord
 	// active lists waiting, starting and running jobs by time of submission.
-	active     []*jobRecord
+	active []*jobRecord
+	// owned lists the same jobs by organisation.
+	owned      map[fleet.OrganisationID][]*jobRecord
 	guarantees *guaranteeRecord
 	violations []Violation
 	// broken counts violations by rule, beyond those kept.
@@ -115,6 +119,7 @@
 		config:  config,
 		workers: map[fleet.WorkerID]*workerRecord{},
 		jobs:    map[fleet.JobKey]*jobRecord{},
+		owned:   map[fleet.OrganisationID][]*jobRecord{},
 		broken:  map[string]int{},
 	}
 	for _, worker := range workers {
@@ -142,6 +147,7 @@
 	state := &jobRecord{job: job, failedOn: map[fleet.WorkerID]bool{}}
 	record.jobs[job.Key] = state
 	record.active = append(record.active, state)
+	record.owned[job.Key.Organisation] = append(record.owned[job.Key.Organisation], state)
 }
 
 func (record *record) cancelled(key fleet.JobKey) {
@@ -161,7 +167,7 @@
 	if state.begun && !state.job.Profile.Idempotent && (!state.saved || !place.Resume) {
 		record.violate(RuleAtMostOnce, "%s begun before, checkpoint %t, resume %t", place.Job.Key, state.saved, place.Resume)
 	}
-	if place.Resume && !state.saved {
+	if place.Resume && !state.restorable {
 		record.violate(RuleProtocol, "resume of %s without a checkpoint", place.Job.Key)
 	}
 	if !record.wholeGang(state, place.Members) || !record.usable(place) {
@@ -277,6 +283,7 @@
 	state := record.jobs[event.Key]
 	state.begun = true
 	state.saved = event.Result == scheduler.EndCheckpointed
+	state.restorable = state.restorable || state.saved
 	state.completed = event.Result == scheduler.EndCompleted
 	for _, worker := range event.Failed {
 		state.failedOn[worker] = true
@@ -296,7 +303,10 @@
 			finish.Verdict, state.begun, state.completed, state.cancelled, len(state.failedOn), finish.Reason)
 	}
 	state.phase = phaseFinished
-	record.active = slices.DeleteFunc(record.active, func(other *jobRecord) bool { return other == state })
+	same := func(other *jobRecord) bool { return other == state }
+	organisation := state.job.Key.Organisation
+	record.active = slices.DeleteFunc(record.active, same)
+	record.owned[organisation] = slices.DeleteFunc(record.owned[organisation], same)
 }
 
 func (record *record) permitted(state *jobRecord, verdict scheduler.Verdict) bool {
@@ -309,15 +319,20 @@
 	case scheduler.VerdictNotRun:
 		return !state.begun
 	case scheduler.VerdictFailed:
-		return len(state.failedOn) >= 3 || (!idempotent && len(state.failedOn) > 0) || record.infeasible(state)
+		return len(state.failedOn) >= 3 || (!idempotent && len(state.failedOn) > 0)
 	case scheduler.VerdictUnknown:
-		return state.begun && !state.completed && !idempotent
+		return state.begun && !state.completed && (!idempotent || record.infeasible(state))
 	}
 	return false
 }
 
-// infeasible reports whether the job's shape fits nowhere on the present workers, even if they were empty.
+// infeasible reports whether the job's shape exceeds its organisation's quota or fits nowhere on the present
+// workers, even if they were empty.
 func (record *record) infeasible(state *jobRecord) bool {
+	organisation := record.config.Organisations[state.job.Key.Organisation]
+	if organisation == nil || organisation.Quota > 0 && state.job.Profile.Shape.Total() > organisation.Quota {
+		return true
+	}
 	count := record.copies(*state.job.Profile.Shape, func(worker *workerRecord) fleet.Accelerators {
 		if worker.gone || worker.worker.Leaving {
 			return 0
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -147,7 +147,7 @@
 	if !ok {
 		return Workload{}, errors.Errorf("workload %q is none of %v", name, WorkloadNames())
 	}
-	source := &source{random: rand.New(rand.NewPCG(seed, 0)), deployment: deployment}
+	source := &source{random: newRandom(seed), deployment: deployment}
 	workload := Workload{Name: name, Deployment: deployment, Seed: seed, WarmUp: workloadWarmUp, Window: workloadWindow}
 	fill(source, &workload)
 	slices.SortStableFunc(source.arrivals, func(a, b Arrival) int {
@@ -157,6 +157,9 @@
 	return workload, nil
 }
 
+// newRandom returns the generator of a workload.
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
 // addMix adds jobs until their work is the given share of the fleet. They arrive at random times of the window,
 // alone or in bursts of one caller's jobs of one profile.
 func (source *source) addMix(shares []mix, load float64) {
--- a/internal/bench/workload_special.go
+++ b/internal/bench/workload_special.go
@@ -29,7 +29,7 @@
 // addFlood lets the last, small, organisation flood the fleet twice over the jobs of WorkloadCalm.
 func (source *source) addFlood(*Workload) {
 	source.addMix(plainMix, calmLoad)
-	flooder := source.deployment.Organisations[len(source.deployment.Organisations)-1]
+	flooder := source.deployment.flooder()
 	for range floodLowJobs {
 		at := floodLowAt + time.Duration(source.random.Int64N(int64(time.Minute)))
 		source.add(flooder, profileBulk, at, source.runTime(medianRunTime)).Flood = true
