--- /dev/null
+++ b/internal/bench/cost.go
@@ -0,0 +1,297 @@
+package bench
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+const (
+	costTeams              = 210
+	costAccelerators       = fleet.Accelerators(20)
+	costCores              = fleet.Cores(80)
+	costRackSize           = 8
+	costCentresPerRegion   = 10
+	costFill               = 0.83
+	costWaitingPerWorker   = 0.1
+	costStartDelay         = 200 * time.Millisecond
+	defaultCostDecisions   = 2000
+	costTypicalPercentile  = 0.50
+	costGuaranteesPerFleet = 0.3
+)
+
+// CostSettings selects the sizes of a cost measurement.
+type CostSettings struct {
+	// Workers are the sizes of the fleet; empty is 50, 500, 3,000 and 12,000.
+	Workers []int
+	// Decisions is the number of measured decisions at each size; 0 is 2,000.
+	Decisions int
+	Candidate Candidate
+	Seed      uint64
+}
+
+// CostPoint is the cost of decisions at one size. Times are real time and differ from run to run.
+type CostPoint struct {
+	Workers int `json:"workers"`
+	Tasks   int `json:"tasks"`
+	// Steps per decision are 0 if the scheduler does not count them.
+	MedianSteps uint64        `json:"median_steps"`
+	P99Steps    uint64        `json:"p99_steps"`
+	MedianTime  time.Duration `json:"median_time_ns"`
+	P99Time     time.Duration `json:"p99_time_ns"`
+	MaxTime     time.Duration `json:"max_time_ns"`
+	// Heap is the live heap of the loaded scheduler.
+	Heap fleet.Bytes `json:"heap_bytes"`
+}
+
+// CostReport has a point for each size. A slope is the exponent of growth between the smallest and the largest
+// size: 0 is constant, 1 is linear.
+type CostReport struct {
+	Points     []CostPoint `json:"points"`
+	StepsSlope float64     `json:"steps_slope"`
+	TimeSlope  float64     `json:"time_slope"`
+	// HeapPerWorker is the growth of the heap between the smallest and the largest size.
+	HeapPerWorker fleet.Bytes `json:"heap_bytes_per_worker"`
+}
+
+// stepCounter is what a scheduler offers that counts its elementary steps.
+type stepCounter interface {
+	// Steps returns the steps taken since the scheduler was made.
+	Steps() uint64
+}
+
+// MeasureCost loads fleets of several sizes to five sixths and measures decisions in a steady state, in which each
+// end of a gang is followed by a submission.
+func MeasureCost(settings CostSettings) CostReport {
+	if len(settings.Workers) == 0 {
+		settings.Workers = []int{50, 500, 3000, 12000}
+	}
+	if settings.Decisions == 0 {
+		settings.Decisions = defaultCostDecisions
+	}
+	report := CostReport{}
+	for _, workers := range settings.Workers {
+		report.Points = append(report.Points, measureCost(settings, workers))
+	}
+	first, last := report.Points[0], report.Points[len(report.Points)-1]
+	if last.Workers > first.Workers {
+		report.StepsSlope = slope(first, last, func(point CostPoint) float64 { return float64(point.P99Steps) })
+		report.TimeSlope = slope(first, last, func(point CostPoint) float64 { return float64(point.P99Time) })
+		report.HeapPerWorker = (last.Heap - first.Heap) / fleet.Bytes(last.Workers-first.Workers)
+	}
+	return report
+}
+
+func slope(first, last CostPoint, value func(CostPoint) float64) float64 {
+	if value(first) <= 0 || value(last) <= 0 {
+		return 0
+	}
+	return math.Log(value(last)/value(first)) / math.Log(float64(last.Workers)/float64(first.Workers))
+}
+
+// costLoad drives one scheduler at one size without modelling run times.
+type costLoad struct {
+	scheduler scheduler.Scheduler
+	config    *profile.Config
+	teams     []fleet.OrganisationID
+	random    *rand.Rand
+	now       time.Time
+	jobs      int
+	tasks     int
+	// running lists the attempts that were started, at positions given by index.
+	running []scheduler.Place
+	index   map[fleet.JobKey]int
+	// measuring is true while decisions are recorded.
+	measuring bool
+	steps     []uint64
+	times     []time.Duration
+}
+
+func measureCost(settings CostSettings, workers int) CostPoint {
+	before := liveHeap()
+	load := newCostLoad(settings, workers)
+	load.fill(workers)
+	load.measuring = true
+	for range settings.Decisions / 2 {
+		load.endOne()
+		load.submitOne()
+	}
+	point := CostPoint{
+		Workers:     workers,
+		Tasks:       load.tasks,
+		MedianSteps: quantile(load.steps, costTypicalPercentile),
+		P99Steps:    quantile(load.steps, 0.99),
+		MedianTime:  quantile(load.times, costTypicalPercentile),
+		P99Time:     quantile(load.times, 0.99),
+		MaxTime:     quantile(load.times, 1),
+	}
+	// The load's own record is small beside the scheduler and counts to its heap.
+	point.Heap = max(0, liveHeap()-before)
+	runtime.KeepAlive(load)
+	return point
+}
+
+func liveHeap() fleet.Bytes {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return fleet.Bytes(stats.HeapAlloc)
+}
+
+func newCostLoad(settings CostSettings, workers int) *costLoad {
+	load := &costLoad{
+		scheduler: settings.Candidate.New(),
+		random:    newRandom(settings.Seed),
+		now:       epoch,
+		index:     map[fleet.JobKey]int{},
+		config:    &profile.Config{Revision: 1, Organisations: map[fleet.OrganisationID]*profile.Organisation{}},
+	}
+	load.scheduler.Apply(load.now, scheduler.FleetChanged{Workers: costFleet(workers)})
+	profiles := costProfiles()
+	guaranteed := int(costGuaranteesPerFleet * float64(workers) / 2)
+	for i := range costTeams {
+		id := fleet.OrganisationID(fmt.Sprintf("team%03d", i))
+		organisation := &profile.Organisation{ID: id, MaxWaiting: organisationMaxWaiting, Profiles: profiles}
+		if count := (guaranteed + costTeams - 1 - i) / costTeams; count > 0 {
+			organisation.Guarantees = []profile.Guarantee{{Count: count, Shape: *profiles[len(profiles)-1].Shape}}
+		}
+		load.teams = append(load.teams, id)
+		load.config.Organisations[id] = organisation
+	}
+	load.scheduler.Apply(load.now, scheduler.ConfigChanged{Config: load.config})
+	return load
+}
+
+func costFleet(workers int) []fleet.Worker {
+	var all []fleet.Worker
+	for i := range workers {
+		centre := i * costCentresPerRegion / workers
+		all = append(all, fleet.Worker{
+			ID: fleet.WorkerID(fmt.Sprintf("w%05d", i)), Region: regionOfDeployment,
+			DataCentre: fleet.DataCentreID(fmt.Sprintf("dc%d", centre)), Rack: fleet.RackID(fmt.Sprintf("r%04d", i/costRackSize)),
+			Cores: costCores, Memory: 128 * gigabyte, Accelerators: costAccelerators,
+		})
+	}
+	return all
+}
+
+// costProfiles has small tasks, gangs, and a guaranteed shape of two whole workers in a data centre, which is last.
+func costProfiles() []profile.Profile {
+	shapes := []fleet.Shape{
+		{Members: 1, Accelerators: 1, Adjacency: fleet.AdjacencyWorker},
+		{Members: 4, Accelerators: 1, Adjacency: fleet.AdjacencyRack},
+		{Members: 1, Accelerators: 4, Adjacency: fleet.AdjacencyWorker},
+		{Members: 16, Accelerators: 1, Adjacency: fleet.AdjacencyDataCentre},
+		{Members: 2, Accelerators: costAccelerators, Adjacency: fleet.AdjacencyDataCentre},
+	}
+	var profiles []profile.Profile
+	for i, shape := range shapes {
+		shape.Cores, shape.Memory = fleet.Cores(shape.Accelerators), fleet.Bytes(shape.Accelerators)*gigabyte
+		profiles = append(profiles, profile.Profile{
+			Name: fleet.ProfileName(fmt.Sprintf("p%d", i)), Shape: &shape, Urgency: profile.Urgency(1 + i%3),
+			Idempotent: true, Checkpoint: true, Limits: profile.Limits{MaxWaiting: organisationMaxWaiting},
+		})
+	}
+	return profiles
+}
+
+// fill submits jobs until the fleet is loaded, and then some that wait.
+func (load *costLoad) fill(workers int) {
+	wanted := int(costFill * float64(workers) * float64(costAccelerators))
+	for stalled := 0; load.tasks < wanted && stalled < workers; stalled++ {
+		before := load.tasks
+		load.submitOne()
+		if load.tasks > before {
+			stalled = 0
+		}
+	}
+	for range int(costWaitingPerWorker * float64(workers)) {
+		load.submit(len(load.config.Organisations[load.teams[0]].Profiles) - 1)
+	}
+}
+
+func (load *costLoad) submitOne() { load.submit(load.random.IntN(4)) }
+
+func (load *costLoad) submit(index int) {
+	team := load.teams[load.random.IntN(len(load.teams))]
+	load.jobs++
+	load.step(scheduler.JobSubmitted{Job: scheduler.Job{
+		Key:       fleet.JobKey{Organisation: team, Job: fleet.JobID(fmt.Sprintf("j%07d", load.jobs))},
+		Caller:    fleet.CallerID(fmt.Sprintf("c%d", load.random.IntN(3))),
+		Profile:   load.config.Organisations[team].Profiles[index],
+		Submitted: load.now,
+	}})
+}
+
+func (load *costLoad) endOne() {
+	if len(load.running) == 0 {
+		return
+	}
+	load.finish(load.running[load.random.IntN(len(load.running))], scheduler.EndCompleted)
+}
+
+func (load *costLoad) finish(place scheduler.Place, result scheduler.EndResult) {
+	position := load.index[place.Job.Key]
+	last := len(load.running) - 1
+	load.running[position] = load.running[last]
+	load.index[load.running[position].Job.Key] = position
+	load.running = load.running[:last]
+	delete(load.index, place.Job.Key)
+	load.tasks -= len(place.Members)
+	load.step(scheduler.GangEnded{Key: place.Job.Key, Attempt: place.Attempt, Result: result, Used: fleet.AcceleratorTime(time.Minute)})
+}
+
+// step applies one event, measures the decision, and carries it out at once.
+func (load *costLoad) step(event scheduler.Event) {
+	load.now = load.now.Add(costStartDelay)
+	counter, counts := load.scheduler.(stepCounter)
+	var before uint64
+	if counts {
+		before = counter.Steps()
+	}
+	began := time.Now()
+	load.scheduler.Apply(load.now, event)
+	decisions := load.scheduler.Decide(load.now)
+	if load.measuring {
+		load.times = append(load.times, time.Since(began))
+		if counts {
+			load.steps = append(load.steps, counter.Steps()-before)
+		}
+	}
+	for _, decision := range decisions {
+		load.carryOut(decision)
+	}
+}
+
+func (load *costLoad) carryOut(decision scheduler.Decision) {
+	switch decision := decision.(type) {
+	case scheduler.Place:
+		load.index[decision.Job.Key] = len(load.running)
+		load.running = append(load.running, decision)
+		load.tasks += len(decision.Members)
+		load.step(scheduler.GangStarted{Key: decision.Job.Key, Attempt: decision.Attempt})
+	case scheduler.Evict:
+		if position, ok := load.index[decision.Key]; ok {
+			load.finish(load.running[position], scheduler.EndCheckpointed)
+		}
+	}
+}
+
+// Markdown returns the points as a table, and the slopes.
+func (report CostReport) Markdown() string {
+	var text strings.Builder
+	text.WriteString("| workers | tasks | median steps | p99 steps | median | p99 | max | heap |\n|---|---|---|---|---|---|---|---|\n")
+	for _, point := range report.Points {
+		fmt.Fprintf(&text, "| %d | %d | %d | %d | %s | %s | %s | %.1f MB |\n", point.Workers, point.Tasks, point.MedianSteps,
+			point.P99Steps, point.MedianTime, point.P99Time, point.MaxTime, float64(point.Heap)/(1<<20))
+	}
+	fmt.Fprintf(&text, "\nslopes: steps %.2f, time %.2f; heap %d bytes per worker\n", report.StepsSlope, report.TimeSlope, report.HeapPerWorker)
+	return text.String()
+}
