Bound the queues exactly and count by profile

Cause: admitted jobs whose records were still being created did not count towards the queue bounds, so a burst could overshoot them, and the scheduler then ended the accepted excess. A job that never began but was judged unknown by the scheduler was told unknown although not_run was certain.

The owner now counts waiting and admitted jobs by profile and organisation. not_run is told when no attempt began; an idempotent job of an earlier owner, which may have been started unrecorded, is told unknown instead. Ends, completion and accelerator time are counted by organisation and profile.

--- a/internal/domain/attempt.go
+++ b/internal/domain/attempt.go
@@ -60,7 +60,7 @@
 		owner.core.Apply(time.Now(), scheduler.PlaceFailed{Key: key, Attempt: decision.Attempt})
 		return
 	}
-	placed.phase = phaseStarting
+	owner.setPhase(placed, phaseStarting)
 	placed.coreAttempt = decision.Attempt
 	if !placed.record.mayRunAgain() {
 		owner.leaveCore(placed)
@@ -137,7 +137,7 @@
 	}
 	switch {
 	case result.Started:
-		job.phase = phaseRunning
+		owner.setPhase(job, phaseRunning)
 		job.record.Begun = attempt
 		owner.service.count("gangs_started", 1)
 		owner.core.Apply(time.Now(), scheduler.GangStarted{Key: key, Attempt: job.coreAttempt})
@@ -156,7 +156,7 @@
 // neverRan returns a job to the queue after an attempt that never ran and holds nothing.
 func (owner *owner) neverRan(job *job, busy []fleet.WorkerID) {
 	now := time.Now()
-	job.phase = phaseQueued
+	owner.setPhase(job, phaseQueued)
 	job.record.State = StateQueued
 	owner.service.count("placements_refused", 1)
 	if job.finish != nil {
@@ -234,7 +234,7 @@
 
 // stopGang stops every member and takes the end of the attempt once each is confirmed to have ended.
 func (owner *owner) stopGang(job *job) {
-	job.phase = phaseEnding
+	owner.setPhase(job, phaseEnding)
 	members := job.members
 	attempt := job.record.Attempt
 	owner.start(func(ctx context.Context) {
@@ -290,7 +290,7 @@
 	}
 	job.hasEnded, job.lastEnd = true, result
 	job.failed = job.failed || result == scheduler.EndFailed
-	job.phase = phaseQueued
+	owner.setPhase(job, phaseQueued)
 	owner.logger.Info("attempt ended", "job", record.Job, "organisation", record.Organisation,
 		"attempt", record.Attempt, "states", fmt.Sprint(states), "at_fault", failed)
 	if job.finish != nil {
@@ -348,7 +348,8 @@
 
 // outcome returns what a caller may be told for a verdict, by what is known of the attempts.
 func (job *job) outcome(verdict scheduler.Verdict) callerv1.Outcome {
-	never := job.record.Begun == 0
+	// An idempotent job may have been started unrecorded by an earlier owner.
+	never := job.record.Begun == 0 && !(job.takenOver && job.record.Profile.Idempotent)
 	completed := job.hasEnded && job.lastEnd == scheduler.EndCompleted
 	switch {
 	case completed:
@@ -357,7 +358,7 @@
 		return callerv1.Outcome_OUTCOME_CANCELLED
 	case verdict == scheduler.VerdictFailed && job.failed:
 		return callerv1.Outcome_OUTCOME_FAILED
-	case (verdict == scheduler.VerdictNotRun || verdict == scheduler.VerdictFailed) && never:
+	case verdict != scheduler.VerdictCompleted && never:
 		return callerv1.Outcome_OUTCOME_NOT_RUN
 	default:
 		return callerv1.Outcome_OUTCOME_UNKNOWN
@@ -373,9 +374,9 @@
 	record.Kind = kind
 	record.Reason = reason
 	record.Ended = time.Now().UTC()
-	job.phase = phaseDone
+	owner.setPhase(job, phaseDone)
 	job.inCore = false
-	owner.service.count("jobs_ended_"+outcomeName(outcome), 1)
+	owner.countEnd(record, outcome)
 	owner.logger.Info("job ended", "job", record.Job, "organisation", record.Organisation,
 		"attempt", record.Attempt, "outcome", outcomeName(outcome), "kind", kind, "reason", reason)
 	owner.saveLater(job)
@@ -454,6 +455,18 @@
 	return true
 }
 
+// countEnd counts an outcome, and the completion time of a completed job, by organisation and profile.
+func (owner *owner) countEnd(record *Record, outcome callerv1.Outcome) {
+	name := outcomeName(outcome)
+	labels := fmt.Sprintf("%s.%s", record.Organisation, record.Profile.Name)
+	owner.service.count("jobs_ended_"+name, 1)
+	owner.service.count("jobs_ended_"+name+"."+labels, 1)
+	if outcome == callerv1.Outcome_OUTCOME_COMPLETED {
+		owner.service.count("job_completion_ms."+labels, record.Ended.Sub(record.Submitted).Milliseconds())
+	}
+	owner.service.count("accelerator_ms."+labels, time.Duration(record.Used).Milliseconds())
+}
+
 func outcomeName(outcome callerv1.Outcome) string {
 	name := outcome.String()
 	return name[len("OUTCOME_"):]
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -85,6 +85,8 @@
 	doubtful map[string]bool
 	retryAt  time.Time
 	retries  int
+	// takenOver is true when an earlier owner may have started an attempt that left no trace.
+	takenOver bool
 	// told is true once the peers were told of the end.
 	told bool
 }
@@ -141,6 +143,22 @@
 	}
 }
 
+// setPhase moves a job to another phase and keeps the count of waiting jobs.
+func (owner *owner) setPhase(job *job, next phase) {
+	owner.countWaiting(job, -1)
+	job.phase = next
+	owner.countWaiting(job, 1)
+}
+
+// countWaiting counts a job with its profile and organisation if it waits.
+func (owner *owner) countWaiting(job *job, by int) {
+	if job.phase != phaseQueued && job.phase != phaseParked {
+		return
+	}
+	owner.waiting[profileKey{job.record.Organisation, job.record.Profile.Name}] += by
+	owner.waitingOf[job.record.Organisation] += by
+}
+
 // leaveCore makes the core forget a job. What the core then decides about it is ignored.
 func (owner *owner) leaveCore(job *job) {
 	if !job.inCore {
@@ -175,6 +193,7 @@
 // removeJob ends the owner's knowledge of a job.
 func (owner *owner) removeJob(job *job) {
 	key := job.record.Key()
+	owner.setPhase(job, phaseDone)
 	owner.setMembers(job, nil)
 	delete(owner.jobs, key)
 	delete(owner.unsaved, key)
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -60,10 +60,14 @@
 	foreign map[fleet.WorkerID]fleet.Accelerators
 	// stale names the workers whose free accelerators the core is to be told of again, with the time of the refusal.
 	stale map[fleet.WorkerID]time.Time
-	// creating counts the admitted jobs whose records are being created.
-	creating  map[profileKey]int
-	fleetSeen int64
-	config    *profile.Config
+	// creating and creatingOf count the admitted jobs whose records are being created, by profile and organisation;
+	// waiting and waitingOf those that wait.
+	creating   map[profileKey]int
+	creatingOf map[fleet.OrganisationID]int
+	waiting    map[profileKey]int
+	waitingOf  map[fleet.OrganisationID]int
+	fleetSeen  int64
+	config     *profile.Config
 	// settled is true once no command of a former owner can take effect and every worker has answered or is lost.
 	settled   bool
 	settledAt time.Time
@@ -95,6 +99,9 @@
 		foreign:    make(map[fleet.WorkerID]fleet.Accelerators),
 		stale:      make(map[fleet.WorkerID]time.Time),
 		creating:   make(map[profileKey]int),
+		creatingOf: make(map[fleet.OrganisationID]int),
+		waiting:    make(map[profileKey]int),
+		waitingOf:  make(map[fleet.OrganisationID]int),
 	}
 	owned.logger = service.Logger.With("owner", owned.tag)
 	owned.ctx, owned.stop = context.WithCancel(service.ctx)
@@ -225,6 +232,9 @@
 	for _, held := range owner.service.copies.all() {
 		owner.copied(held.record.Key(), held.record, held.revision)
 	}
+	for _, known := range owner.jobs {
+		known.takenOver = true
+	}
 	for _, ended := range owner.service.unwrittenEnds() {
 		owner.learnEnd(ended)
 	}
@@ -305,7 +315,7 @@
 
 // enqueue gives a job to the core, or ends it when it was cancelled.
 func (owner *owner) enqueue(job *job) {
-	job.phase = phaseQueued
+	owner.setPhase(job, phaseQueued)
 	if job.record.CancelRequested {
 		owner.end(job, scheduler.VerdictCancelled, "", "cancelled")
 		return
@@ -319,24 +329,29 @@
 	if owner.draining {
 		return fault.New(fault.Draining, "the owner is stopping").WithRetryAfter(ownerRetryAfter)
 	}
+	if owner.config == nil || owner.config.Organisations[record.Organisation] == nil {
+		return fault.New(fault.OwnerUnavailable, "the owner has not received the configuration yet").WithRetryAfter(ownerRetryAfter)
+	}
 	if refusal := owner.core.Admit(time.Now(), record.job()); refusal != nil {
 		return refusal
 	}
 	key := profileKey{record.Organisation, record.Profile.Name}
-	if owner.creating[key] >= record.Profile.Limits.MaxWaiting {
-		return fault.New(fault.QueueFull, "%d jobs of profile %s are being accepted", owner.creating[key], key.profile).WithRetryAfter(ownerRetryAfter)
+	if count := owner.waiting[key] + owner.creating[key]; count >= record.Profile.Limits.MaxWaiting {
+		return fault.New(fault.QueueFull, "%d jobs of profile %s wait", count, key.profile).WithRetryAfter(ownerRetryAfter)
+	}
+	bound := owner.config.Organisations[key.organisation].MaxWaiting
+	if count := owner.waitingOf[key.organisation] + owner.creatingOf[key.organisation]; bound > 0 && count >= bound {
+		return fault.New(fault.QueueFull, "%d jobs of organisation %s wait", count, key.organisation).WithRetryAfter(ownerRetryAfter)
 	}
 	owner.creating[key]++
+	owner.creatingOf[key.organisation]++
 	return nil
 }
 
 // admitted ends the count of an admitted job, whose record now exists or never will.
 func (owner *owner) admitted(record *Record) {
-	key := profileKey{record.Organisation, record.Profile.Name}
-	owner.creating[key]--
-	if owner.creating[key] == 0 {
-		delete(owner.creating, key)
-	}
+	owner.creating[profileKey{record.Organisation, record.Profile.Name}]--
+	owner.creatingOf[record.Organisation]--
 }
 
 // explain returns the state of a job and the reasons for it.
--- a/internal/domain/recover.go
+++ b/internal/domain/recover.go
@@ -21,7 +21,7 @@
 
 // recover finds out whether an attempt of a job runs. The wait of section 2.3 of the design begins now.
 func (owner *owner) recover(job *job) {
-	job.phase = phaseRecovering
+	owner.setPhase(job, phaseRecovering)
 	job.since = time.Now()
 	job.finish = nil
 	owner.setMembers(job, recordMembers(&job.record))
@@ -49,7 +49,7 @@
 
 // release ends the renewals of a job's leases, and has them judged as strays.
 func (owner *owner) release(job *job) {
-	job.phase = phaseDone
+	owner.setPhase(job, phaseDone)
 	for _, member := range job.members {
 		endsBy, ok := owner.manager.EndsBy(member.Worker, member.Lease)
 		if !ok {
@@ -244,7 +244,7 @@
 	for _, member := range attempt.members {
 		recovered.Members = append(recovered.Members, scheduler.Member{Worker: member.Worker, Accelerators: member.Accelerators})
 	}
-	job.phase = phaseRunning
+	owner.setPhase(job, phaseRunning)
 	job.inCore = true
 	job.coreAttempt = attempt.attempt
 	job.record.Begun = attempt.attempt
@@ -280,6 +280,9 @@
 		owner.ended(job, states)
 		return
 	}
+	if !released {
+		job.record.Begun = job.record.Attempt
+	}
 	job.record.State = StateQueued
 	owner.enqueue(job)
 	if !job.record.Profile.Idempotent {
--- a/internal/domain/save.go
+++ b/internal/domain/save.go
@@ -240,7 +240,7 @@
 // park takes a job out of the core until the store answers.
 func (owner *owner) park(job *job) {
 	owner.leaveCore(job)
-	job.phase = phaseParked
+	owner.setPhase(job, phaseParked)
 	owner.parked[job.record.Key()] = true
 }
 
