--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -43,6 +43,9 @@
 	Fragmentation float64
 	// MemberFragmentation is the same for one member of that shape.
 	MemberFragmentation float64
+	// BlockedFragmentation is the share of the free accelerators on workers that could not hold one member of that
+	// shape even if all preemptible work there ended.
+	BlockedFragmentation float64
 }
 
 // Measures are the measures of one run.
@@ -58,8 +61,9 @@
 	// LowerBound is PooledBound of the workload.
 	LowerBound profile.Duration `json:"lower_bound"`
 	// Fragmentation is the mean over the window, weighted by free accelerators.
-	Fragmentation       float64 `json:"fragmentation"`
-	MemberFragmentation float64 `json:"member_fragmentation"`
+	Fragmentation        float64 `json:"fragmentation"`
+	MemberFragmentation  float64 `json:"member_fragmentation"`
+	BlockedFragmentation float64 `json:"blocked_fragmentation"`
 	// Utilisation is the mean share of accelerators in use over the window.
 	Utilisation float64 `json:"utilisation"`
 	// OthersCompleted counts the jobs of the organisations that do not flood that completed within the window, and
@@ -135,6 +139,7 @@
 		members.Members, members.Adjacency = 1, fleet.AdjacencyWorker
 		taken.Fragmentation = collector.unusable(shape, free)
 		taken.MemberFragmentation = collector.unusable(members, free)
+		taken.BlockedFragmentation = collector.blocked(shape.Accelerators, free)
 	}
 	collector.samples = append(collector.samples, taken)
 }
@@ -167,6 +172,25 @@
 	return float64(ideal-copies) * float64(shape.Total()) / float64(free)
 }
 
+// blocked returns the share of the free accelerators on workers where non-preemptible work leaves too few for a member.
+func (collector *collector) blocked(member, free fleet.Accelerators) float64 {
+	fixed := map[fleet.WorkerID]fleet.Accelerators{}
+	for _, state := range collector.record.active {
+		for _, part := range state.members {
+			if !state.job.Profile.Preemptible() {
+				fixed[part.Worker] += part.Accelerators
+			}
+		}
+	}
+	var blocked fleet.Accelerators
+	for _, worker := range collector.record.order {
+		if worker.worker.Accelerators-worker.foreign-fixed[worker.worker.ID] < member {
+			blocked += worker.free()
+		}
+	}
+	return float64(blocked) / float64(max(1, free))
+}
+
 // measures derives the measures at the end of a run.
 func (collector *collector) measures() Measures {
 	measures := Measures{Refused: collector.refused, Evictions: collector.evicted, Decisions: collector.decisions}
@@ -248,7 +272,7 @@
 
 func (collector *collector) measureFleet(measures *Measures) {
 	capacity := float64(len(collector.workload.Deployment.Workers)) * float64(workerAccelerators)
-	var free, unusable, unusableByMember float64
+	var free, unusable, unusableByMember, blocked float64
 	count := 0
 	for _, sample := range collector.samples {
 		if sample.After < collector.workload.WarmUp || sample.After > collector.workload.Window {
@@ -258,6 +282,7 @@
 		free += float64(sample.Free)
 		unusable += sample.Fragmentation * float64(sample.Free)
 		unusableByMember += sample.MemberFragmentation * float64(sample.Free)
+		blocked += sample.BlockedFragmentation * float64(sample.Free)
 	}
 	if count == 0 {
 		return
@@ -266,6 +291,7 @@
 	if free > 0 {
 		measures.Fragmentation = unusable / free
 		measures.MemberFragmentation = unusableByMember / free
+		measures.BlockedFragmentation = blocked / free
 	}
 }
 
