--- a/internal/bench/guarantee.go
+++ b/internal/bench/guarantee.go
@@ -25,8 +25,8 @@
 	bound        time.Duration
 	// missing has one entry for each shape that is asked for and does not run, the oldest first.
 	missing []missingShape
-	// running is the number of shapes that ran at the last check.
-	running int
+	// asked and running are the numbers at the last change of the organisation's jobs.
+	asked, running int
 	// waits holds how long each satisfied shape took.
 	waits []time.Duration
 }
@@ -82,19 +82,24 @@
 
 // check compares what is asked for with what runs, now.
 func (guarantees *guaranteeRecord) check() {
+	changed := guarantees.record.changed
 	for _, demand := range guarantees.demands {
-		guarantees.checkDemand(demand)
+		guarantees.checkDemand(demand, changed[demand.organisation])
 	}
+	clear(changed)
 }
 
-func (guarantees *guaranteeRecord) checkDemand(demand *demand) {
+func (guarantees *guaranteeRecord) checkDemand(demand *demand, changed bool) {
 	now := guarantees.record.now
-	asked, running := guarantees.count(demand)
+	asked, running := demand.asked, demand.running
+	if changed {
+		asked, running = guarantees.count(demand)
+	}
 	for len(demand.missing) < asked-running {
 		demand.missing = append(demand.missing, missingShape{since: now})
 	}
 	begun := running - demand.running
-	demand.running = running
+	demand.asked, demand.running = asked, running
 	for len(demand.missing) > max(0, asked-running) {
 		if begun > 0 {
 			demand.waits = append(demand.waits, guarantees.elapsed(demand.missing[0]))
--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -106,7 +106,9 @@
 	// active lists waiting, starting and running jobs by time of submission.
 	active []*jobRecord
 	// owned lists the same jobs by organisation.
-	owned      map[fleet.OrganisationID][]*jobRecord
+	owned map[fleet.OrganisationID][]*jobRecord
+	// changed has the organisations with a job that changed since the last check of the guarantees.
+	changed    map[fleet.OrganisationID]bool
 	guarantees *guaranteeRecord
 	violations []Violation
 	// broken counts violations by rule, beyond those kept.
@@ -120,6 +122,7 @@
 		workers: map[fleet.WorkerID]*workerRecord{},
 		jobs:    map[fleet.JobKey]*jobRecord{},
 		owned:   map[fleet.OrganisationID][]*jobRecord{},
+		changed: map[fleet.OrganisationID]bool{},
 		broken:  map[string]int{},
 	}
 	for _, worker := range workers {
@@ -148,10 +151,15 @@
 	record.jobs[job.Key] = state
 	record.active = append(record.active, state)
 	record.owned[job.Key.Organisation] = append(record.owned[job.Key.Organisation], state)
+	record.touch(state)
 }
 
+func (record *record) touch(state *jobRecord) { record.changed[state.job.Key.Organisation] = true }
+
 func (record *record) cancelled(key fleet.JobKey) {
-	record.jobs[key].cancelled = true
+	state := record.jobs[key]
+	state.cancelled = true
+	record.touch(state)
 }
 
 // placed takes a placement after checking it and reports whether it can be carried out.
@@ -174,6 +182,7 @@
 		return false
 	}
 	state.phase, state.attempt, state.members = phaseStarting, place.Attempt, slices.Clone(place.Members)
+	record.touch(state)
 	if !record.hold(state) {
 		return false
 	}
@@ -271,11 +280,13 @@
 		record.workers[member.Worker].take(state.job.Profile.Shape, -1)
 	}
 	state.phase, state.members = phaseWaiting, nil
+	record.touch(state)
 }
 
 func (record *record) started(key fleet.JobKey) {
 	state := record.jobs[key]
 	state.phase, state.begun, state.saved = phaseRunning, true, false
+	record.touch(state)
 }
 
 // ended releases an attempt that may have run.
@@ -303,6 +314,7 @@
 			finish.Verdict, state.begun, state.completed, state.cancelled, len(state.failedOn), finish.Reason)
 	}
 	state.phase = phaseFinished
+	record.touch(state)
 	same := func(other *jobRecord) bool { return other == state }
 	organisation := state.job.Key.Organisation
 	record.active = slices.DeleteFunc(record.active, same)
