Bind jobs of a guaranteed shape to cells of that shape

A job whose shape is guaranteed occupies a cell of that shape; other preemptible work of its organisation in the cell is evicted for it.

--- a/pkg/scheduler/cells.go
+++ b/pkg/scheduler/cells.go
@@ -15,6 +15,8 @@
 	shape fleet.Shape
 	// holdings is empty while the cell is not bound.
 	holdings []holding
+	// occupant is the job of the cell's shape that runs or claims here; nil if there is none.
+	occupant *entry
 }
 
 // cellKind is what equal cells have in common.
@@ -115,6 +117,9 @@
 
 // unbind uncovers the accelerators of a cell.
 func (core *Core) unbind(cell *cell) {
+	if cell.occupant != nil {
+		core.vacate(cell.occupant)
+	}
 	unit := resourcesOf(cell.shape)
 	for _, holding := range cell.holdings {
 		machine := holding.worker
@@ -233,6 +238,7 @@
 		if owner.cellsMoved {
 			owner.cellsMoved = false
 			owner.cellWorkers = nil
+			owner.cellsOf = map[fleet.Shape][]*cell{}
 			moved[owner] = map[*worker]struct{}{}
 		}
 	}
@@ -241,6 +247,9 @@
 		if !ok {
 			continue
 		}
+		if len(cell.holdings) > 0 {
+			cell.owner.cellsOf[cell.shape] = append(cell.owner.cellsOf[cell.shape], cell)
+		}
 		for _, holding := range cell.holdings {
 			core.steps++
 			if _, known := seen[holding.worker]; !known {
--- a/pkg/scheduler/compaction.go
+++ b/pkg/scheduler/compaction.go
@@ -111,7 +111,7 @@
 		if !gang.preemptible || !settled || gang.eviction != evictionNone || gang.cancelled {
 			continue
 		}
-		if gang.job.Profile.Urgency > job.job.Profile.Urgency && gang.organisation == job.organisation {
+		if gang.urgent() || gang.job.Profile.Urgency > job.job.Profile.Urgency && gang.organisation == job.organisation {
 			continue
 		}
 		if gang.organisation == job.organisation || over[gang.organisation.tenant][0] > 0 {
@@ -132,8 +132,7 @@
 		}
 		most := machine.capacity.quotient(job.unit)
 		if !job.preemptible {
-			own := machine.share(job.organisation.tenant)
-			most = machine.bindable.positive().plus(own.cell.minus(own.pinned).positive()).quotient(job.unit)
+			most = machine.pinnedLimit(job.organisation.tenant).quotient(job.unit)
 		}
 		if most = min(most, job.shape().Members); most == 0 {
 			continue
--- a/pkg/scheduler/entry.go
+++ b/pkg/scheduler/entry.go
@@ -54,6 +54,8 @@
 	ran bool
 	// holdings is empty unless the job claims, is being placed or runs.
 	holdings []holding
+	// cell is the cell of the job's shape that the job occupies; nil if it runs elsewhere.
+	cell *cell
 	// began is when the current attempt was decided or recovered.
 	began time.Time
 	// waiting is when the job was queued last.
@@ -176,6 +178,7 @@
 func (core *Core) release(job *entry) {
 	claim := job.phase == phaseClaiming
 	core.settleEviction(job)
+	core.vacate(job)
 	for _, holding := range job.holdings {
 		amount := job.unit.times(holding.members)
 		machine := holding.worker
--- a/pkg/scheduler/fairness.go
+++ b/pkg/scheduler/fairness.go
@@ -57,6 +57,8 @@
 	callers  map[fleet.CallerID]*caller
 	// cellWorkers are the workers with cells of the organisation, in a fixed order.
 	cellWorkers []*worker
+	// cellsOf holds the bound cells by shape.
+	cellsOf map[fleet.Shape][]*cell
 	// cellsMoved is set when cellWorkers is out of date.
 	cellsMoved bool
 	queue      queue
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -170,7 +170,7 @@
 	if job.preemptible {
 		return core.findIn(job, viewFree, job.freeSlots)
 	}
-	if !core.hasOwnFree(job) {
+	if job.guaranteed() || !core.hasOwnFree(job) {
 		return nil
 	}
 	return core.assemble(job.shape(), core.mixedCandidates(job))
--- a/pkg/scheduler/rebind.go
+++ b/pkg/scheduler/rebind.go
@@ -8,15 +8,24 @@
 // rebindSaving is the share of the loss that moving a cell must save.
 const rebindSaving = 0.5
 
-// rebindCheaper moves a cell of the job's organisation to where less work is lost when it is emptied. Work
-// that cannot checkpoint then keeps running where the cell was. It reports whether a cell was moved.
+// rebindCheaper moves a cell of the job's organisation to where less work is lost when it is emptied. It
+// reports whether a cell was moved.
 func (core *Core) rebindCheaper(now time.Time, job *entry, victims []*entry) bool {
+	if len(victims) == 0 {
+		return false
+	}
+	cell := core.cellOf(job, victims)
+	return cell != nil && core.moveCheaper(now, job, cell, victims)
+}
+
+// moveCheaper moves a cell to where less is lost than the victims lose. Work that cannot checkpoint then
+// keeps running where the cell was. It reports whether the cell was moved.
+func (core *Core) moveCheaper(now time.Time, job *entry, cell *cell, victims []*entry) bool {
 	bound := core.totalLoss(now, victims) * rebindSaving
 	if bound <= checkpointCost.Seconds()*float64(job.total) {
 		return false
 	}
-	cell := core.cellOf(job, victims)
-	if cell == nil {
+	if cell.occupant != nil {
 		return false
 	}
 	former := cell.holdings
@@ -36,7 +45,7 @@
 	dearest := slices.MaxFunc(victims, func(left, right *entry) int { return left.began.Compare(right.began) * -1 })
 	for _, held := range dearest.holdings {
 		for _, cell := range held.worker.cells {
-			if cell.owner == job.organisation && cell.unused() && cell.shape.Total() >= job.total {
+			if cell.owner == job.organisation && cell.occupant == nil && cell.shape.Total() >= job.total {
 				return cell
 			}
 		}
@@ -44,17 +53,6 @@
 	return nil
 }
 
-// unused reports whether the organisation's own work leaves room for the whole cell where it is bound.
-func (cell *cell) unused() bool {
-	unit := resourcesOf(cell.shape)
-	for _, holding := range cell.holdings {
-		if !holding.worker.ownRoom(cell.owner.tenant).covers(unit.times(holding.members)) {
-			return false
-		}
-	}
-	return true
-}
-
 // cheapestCell looks for accelerators outside cells that lose less than a bound when they are emptied.
 func (core *Core) cheapestCell(now time.Time, cell *cell, bound float64) []holding {
 	form := cell.shape
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -123,6 +123,21 @@
 	if version, known := owner.crowded[kind]; known && version == owner.roomVersion {
 		return false
 	}
+	if job.guaranteed() {
+		if core.tryExact(now, job) {
+			return true
+		}
+		if !job.preemptible {
+			owner.crowded[kind] = owner.roomVersion
+			return false
+		}
+	}
+	if !job.job.Profile.Checkpoint {
+		// Work that a reclaim would lose stays out of cells while there is room elsewhere.
+		if holdings := core.findOpen(job); holdings != nil {
+			return core.start(now, job, holdings, "free accelerators outside cells")
+		}
+	}
 	if holdings := core.findOwn(job); holdings != nil {
 		return core.start(now, job, holdings, "free cells of its organisation")
 	}
--- a/pkg/scheduler/worker.go
+++ b/pkg/scheduler/worker.go
@@ -105,9 +105,13 @@
 
 // pinnedRoom returns what work of a tenant that cannot be preempted may still take.
 func (worker *worker) pinnedRoom(tenant int) resources {
+	return worker.pinnedLimit(tenant).atMost(worker.free)
+}
+
+// pinnedLimit returns what work of a tenant that cannot be preempted could still take if all other work ended.
+func (worker *worker) pinnedLimit(tenant int) resources {
 	own := worker.share(tenant)
-	room := worker.bindable.positive().plus(own.cell.minus(own.pinned).positive())
-	return room.atMost(worker.free)
+	return worker.bindable.positive().plus(own.cell.minus(own.pinned).positive())
 }
 
 // ownRoom returns what the tenant's cells here hold beyond the tenant's own use.
