Let claims of guaranteed shapes precede lesser claims

Surplus urgent work of the same organisation, and a borrower that had only claimed accelerators, could not be evicted from a cell.

Urgent jobs of a guaranteed shape evict surplus work of their organisation whatever its urgency; a claim in own cells cancels claims of borrowers. A failed claim is not remembered as a lack of room.

--- a/pkg/scheduler/core_test.go
+++ b/pkg/scheduler/core_test.go
@@ -265,3 +265,31 @@
 		}
 	}
 }
+
+// Guards against a guaranteed shape that cannot be reclaimed because work of the same organisation of another
+// guaranteed shape, or a borrower that has only claimed the accelerators, fills its cell.
+func TestOwnWorkLeavesOtherShapesReclaimable(t *testing.T) {
+	single, pair := shape(1, 8, fleet.AdjacencyWorker), shape(2, 8, fleet.AdjacencyRack)
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{
+		"reed":  {{Count: 1, Shape: single}, {Count: 1, Shape: pair}},
+		"valve": {{Count: 1, Shape: single}},
+	})
+	harness := newHarness(t, machines(4, 4, 1), config)
+	for range 4 {
+		harness.submit("reed", "caller", preemptible("single", single, profile.UrgencyUrgent), time.Hour)
+	}
+	harness.decide()
+	harness.advance(30 * time.Second)
+	urgent := harness.submit("reed", "caller", preemptible("pair", pair, profile.UrgencyUrgent), time.Minute)
+	harness.decide()
+	harness.advance(urgentBound)
+	if _, ok := harness.first[urgent]; !ok {
+		t.Errorf("not started: %v", harness.core.Explain(urgent))
+	}
+	other := harness.submit("valve", "caller", preemptible("single", single, profile.UrgencyUrgent), time.Minute)
+	harness.decide()
+	harness.advance(urgentBound)
+	if _, ok := harness.first[other]; !ok {
+		t.Errorf("not started: %v", harness.core.Explain(other))
+	}
+}
--- a/pkg/scheduler/exact.go
+++ b/pkg/scheduler/exact.go
@@ -81,7 +81,7 @@
 // reclaimExact claims the cell of the job's shape that loses the least work and evicts the work in it.
 func (core *Core) reclaimExact(now time.Time, job *entry) bool {
 	best, victims := core.cheapestExact(now, job)
-	if best == nil && job.urgent() && core.dropLesserClaims(now, job) {
+	if best == nil && core.dropLesserClaims(now, job) {
 		best, victims = core.cheapestExact(now, job)
 	}
 	if best == nil {
@@ -124,22 +124,6 @@
 	return best, bestVictims
 }
 
-// dropLesserClaims gives up the claims of less urgent jobs of the organisation. They hold nothing yet, and
-// what they evicted is about to end. It reports whether there were any.
-func (core *Core) dropLesserClaims(now time.Time, job *entry) bool {
-	var lesser []*entry
-	for _, claim := range core.claims {
-		if claim.organisation == job.organisation && claim.job.Profile.Urgency < job.job.Profile.Urgency {
-			lesser = append(lesser, claim)
-		}
-	}
-	for _, claim := range lesser {
-		core.dropClaim(claim)
-		core.enqueue(now, claim)
-	}
-	return len(lesser) > 0
-}
-
 // reachable reports whether the job could be in the cell if work that can be preempted were not.
 func (cell *cell) reachable(job *entry) bool {
 	for _, holding := range cell.holdings {
@@ -162,7 +146,8 @@
 	for _, gang := range machine.gangs {
 		core.steps++
 		own := gang.organisation == job.organisation && !job.displaceable(gang)
-		if own && gang.preemptible && gang.cell == nil && gang.eviction == evictionNone && !gang.urgent() {
+		outranks := job.urgent() || !gang.urgent()
+		if own && outranks && gang.preemptible && gang.cell == nil && gang.eviction == evictionNone {
 			victims = append(victims, gang)
 		}
 	}
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 )
@@ -148,6 +147,9 @@
 // reclaim claims accelerators in the job's own cells and evicts the work that is in the way.
 func (core *Core) reclaim(now time.Time, job *entry) bool {
 	holdings, victims, found := core.planReclaim(now, job)
+	if !found && core.dropLesserClaims(now, job) {
+		holdings, victims, found = core.planReclaim(now, job)
+	}
 	if found && core.rebindCheaper(now, job, victims) {
 		holdings, victims, found = core.planReclaim(now, job)
 	}
@@ -290,164 +292,3 @@
 	return victims
 }
 
-// claim accounts holdings to a waiting job and evicts victims. The job starts when they have ended.
-func (core *Core) claim(now time.Time, job *entry, holdings []holding, victims []*entry, reason string) {
-	core.dequeue(job)
-	job.phase = phaseClaiming
-	job.reason = reason
-	core.take(job, holdings, true)
-	core.claims = append(core.claims, job)
-	for _, victim := range victims {
-		core.evict(now, victim, job.hurried && job.urgent(), fmt.Sprintf("%s for job %s", reason, job.job.Key))
-	}
-}
-
-// dropClaim gives a claim up.
-func (core *Core) dropClaim(job *entry) {
-	core.release(job)
-	job.phase = phaseWaiting
-	core.claims = slices.DeleteFunc(core.claims, func(other *entry) bool { return other == job })
-}
-
-// settleClaims starts the jobs whose claimed accelerators are free and gives up claims that cannot be met.
-func (core *Core) settleClaims(now time.Time) {
-	for i := len(core.claims) - 1; i >= 0; i-- {
-		job := core.claims[i]
-		if core.claimHolds(job) {
-			continue
-		}
-		core.dropClaim(job)
-		core.enqueue(now, job)
-	}
-	pending := core.claims[:0]
-	for _, job := range core.claims {
-		if !core.claimReady(job) {
-			pending = append(pending, job)
-			continue
-		}
-		core.confirm(job)
-		core.place(now, job, job.reason)
-	}
-	clear(core.claims[len(pending):])
-	core.claims = pending
-}
-
-// claimHolds reports whether a claim can still be met.
-func (core *Core) claimHolds(job *entry) bool {
-	for _, holding := range job.holdings {
-		core.steps++
-		machine := holding.worker
-		if !machine.usable() || machine.available()[0] < 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// claimReady reports whether all claimed accelerators are free.
-func (core *Core) claimReady(job *entry) bool {
-	for _, holding := range job.holdings {
-		machine := holding.worker
-		if !machine.free.plus(machine.claimed).covers(job.unit.times(holding.members)) {
-			return false
-		}
-	}
-	return true
-}
-
-// evict takes a gang's accelerators back, by a checkpoint if the gang can make one.
-func (core *Core) evict(now time.Time, job *entry, hurried bool, reason string) {
-	if hurried || !job.job.Profile.Checkpoint {
-		core.stopFor(now, job, reason)
-		return
-	}
-	core.startEviction(now, job, evictionCheckpoint)
-	core.decide(Evict{job.job.Key, job.attempt, EvictCheckpoint, reason})
-	core.history.evicted(job, now, reason)
-}
-
-// stop ends a gang at once.
-func (core *Core) stop(now time.Time, job *entry, reason string) {
-	if job.eviction < evictionStop {
-		core.stopFor(now, job, reason)
-	}
-}
-
-func (core *Core) stopFor(now time.Time, job *entry, reason string) {
-	core.startEviction(now, job, evictionStop)
-	core.decide(Evict{job.job.Key, job.attempt, EvictStop, reason})
-	core.history.evicted(job, now, reason)
-}
-
-// startEviction accounts what an eviction is going to free.
-func (core *Core) startEviction(now time.Time, job *entry, step eviction) {
-	if job.eviction == evictionNone {
-		for _, holding := range job.holdings {
-			holding.worker.ending = holding.worker.ending.plus(job.unit.times(holding.members))
-		}
-		core.evicting = append(core.evicting, job)
-	}
-	job.eviction = step
-	job.evictionAt = now
-}
-
-// settleEviction ends the accounting of an eviction.
-func (core *Core) settleEviction(job *entry) {
-	if job.eviction == evictionNone {
-		return
-	}
-	if job.eviction != evictionStuck {
-		core.endEnding(job)
-	}
-	job.eviction = evictionNone
-	core.evicting = slices.DeleteFunc(core.evicting, func(other *entry) bool { return other == job })
-}
-
-func (core *Core) endEnding(job *entry) {
-	for _, holding := range job.holdings {
-		holding.worker.ending = holding.worker.ending.minus(job.unit.times(holding.members))
-	}
-}
-
-// escalation returns when the next step of an eviction is due.
-func (core *Core) escalation(job *entry) (time.Time, bool) {
-	switch job.eviction {
-	case evictionCheckpoint:
-		return job.evictionAt.Add(core.settings.CheckpointGrace), true
-	case evictionStop:
-		return job.evictionAt.Add(core.settings.StopConfirmation), true
-	default:
-		return time.Time{}, false
-	}
-}
-
-// escalate stops gangs whose grace period is over and gives up those that ignore the stop.
-func (core *Core) escalate(now time.Time) {
-	for _, job := range core.evicting {
-		at, ok := core.escalation(job)
-		if !ok || at.After(now) {
-			continue
-		}
-		job.evictionAt = now
-		if job.eviction == evictionCheckpoint {
-			job.eviction = evictionStop
-			core.decide(Evict{job.job.Key, job.attempt, EvictStop, "the grace period for the checkpoint is over"})
-			continue
-		}
-		core.endEnding(job)
-		job.eviction = evictionStuck
-		core.hurry(job)
-		core.freed()
-	}
-}
-
-// hurry marks the claims that wait for a gang that ignores its stop. Their next victims get no grace period.
-func (core *Core) hurry(stuck *entry) {
-	for _, claim := range core.claims {
-		for _, holding := range claim.holdings {
-			if holding.worker.membersOf(stuck) > 0 {
-				claim.hurried = true
-			}
-		}
-	}
-}
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -127,8 +127,7 @@
 		if core.tryExact(now, job) {
 			return true
 		}
-		if !job.preemptible {
-			owner.crowded[kind] = owner.roomVersion
+		if !job.preemptible || job.urgent() {
 			return false
 		}
 	}
