Use avoided workers again and repack during shortfalls

A job keeps off the workers on which it failed for 30 s of waiting. In fleets of up to 2,000 workers and cells, all cells are repacked when work that cannot be preempted ends during a shortfall.

--- a/pkg/scheduler/cells.go
+++ b/pkg/scheduler/cells.go
@@ -157,6 +157,10 @@
 	return machine.capacity.covers(covered)
 }
 
+// smallFleet bounds the workers and cells of a fleet that is repacked whenever work that cannot be preempted
+// ends during a shortfall. A repacking of 12,000 workers takes longer than a decision may.
+const smallFleet = 2000
+
 // bindCells binds the cells that are not bound, as far as they find a place. It repacks all cells when that
 // binds more of them.
 func (core *Core) bindCells() {
--- a/pkg/scheduler/claim.go
+++ b/pkg/scheduler/claim.go
@@ -102,4 +102,3 @@
 	}
 	return true
 }
-
--- a/pkg/scheduler/entry.go
+++ b/pkg/scheduler/entry.go
@@ -77,6 +77,8 @@
 	// failedOn holds the workers on which attempts failed.
 	failedOn []fleet.WorkerID
 	failures int
+	// lenient is set when the job found no place for some time without those workers.
+	lenient bool
 
 	group    *group
 	position int
@@ -200,6 +202,9 @@
 	job.holdings = nil
 	job.organisation.held -= job.total
 	job.organisation.roomVersion++
+	if !job.preemptible && len(core.unbound) > 0 && core.present+len(core.cells) <= smallFleet {
+		core.repack = true
+	}
 	core.freed()
 }
 
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -97,9 +97,9 @@
 	return holdings, cost, capacity - members
 }
 
-// avoids reports whether the job failed on the worker before.
+// avoids reports whether the job keeps off the worker, since it failed there.
 func (entry *entry) avoids(machine *worker) bool {
-	return len(entry.failedOn) > 0 && slices.Contains(entry.failedOn, machine.ID)
+	return !entry.lenient && len(entry.failedOn) > 0 && slices.Contains(entry.failedOn, machine.ID)
 }
 
 // freeSlots returns how many members may start on a worker now, borrowing included.
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -69,6 +69,7 @@
 func (core *Core) enqueue(now time.Time, job *entry) {
 	job.phase = phaseWaiting
 	job.waiting = now
+	job.lenient = false
 	queue := &job.organisation.queue
 	key := groupKey{classOf(job), job.job.Profile.Name, job.job.Caller, core.level(now, job)}
 	home, ok := queue.groups[key]
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -291,4 +291,3 @@
 	}
 	return victims
 }
-
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -22,6 +22,7 @@
 		owner.queue.sweep()
 		owner.priority = core.normalised(now, owner)
 		for _, group := range owner.queue.ordered {
+			core.relent(now, group)
 			group.caller.priority = core.service(now, &group.caller.account)
 		}
 	}
@@ -39,6 +40,19 @@
 	passCompaction
 )
 
+// relent lets a job use the workers on which it failed when it found no other place for some time.
+func (core *Core) relent(now time.Time, group *group) {
+	if group.key.class.only == "" {
+		return
+	}
+	job := group.head()
+	if !job.lenient && now.Sub(job.waiting) >= core.settings.AvoidTime {
+		job.lenient = true
+		core.version++
+		job.organisation.roomVersion++
+	}
+}
+
 // turn is what is left to try for one organisation in one pass.
 type turn struct {
 	owner  *organisation
--- a/pkg/scheduler/settings.go
+++ b/pkg/scheduler/settings.go
@@ -39,6 +39,8 @@
 	GainFactor float64 `json:"gain_factor"`
 	// MinRun is the time for which a gang runs before it may be moved.
 	MinRun time.Duration `json:"min_run"`
+	// AvoidTime is the time for which a waiting job keeps off the workers on which it failed.
+	AvoidTime time.Duration `json:"avoid_time"`
 	// History is the number of placements, reclaims and refusals that Dump holds, each.
 	History int `json:"history"`
 }
@@ -64,6 +66,7 @@
 		CompactionInterval: time.Second,
 		LossShare:          0.01,
 		GainFactor:         1,
+		AvoidTime:          30 * time.Second,
 		MinRun:             20 * time.Second,
 		History:            64,
 	}
@@ -86,6 +89,7 @@
 	setDefault(&settings.LossShare, defaults.LossShare)
 	setDefault(&settings.GainFactor, defaults.GainFactor)
 	setDefault(&settings.MinRun, defaults.MinRun)
+	setDefault(&settings.AvoidTime, defaults.AvoidTime)
 	setDefault(&settings.History, defaults.History)
 	if settings.Levels == nil {
 		settings.Levels = defaults.Levels
