--- a/internal/domain/failure_test.go
+++ b/internal/domain/failure_test.go
@@ -305,3 +305,13 @@
 		}
 	})
 }
+
+// Guards against refusing a job only because its owner has just been lost and the next one is not there yet.
+func TestSubmissionWaitsForNextOwner(t *testing.T) {
+	runCluster(t, 4, 2, func(t *testing.T, cluster *cluster) {
+		mustSubmit(t, cluster, "before", repeatable, standin.Input{RunTimeMS: 1_000})
+		cluster.processes[0].kill()
+		mustSubmit(t, cluster, "after", repeatable, standin.Input{RunTimeMS: 1_000})
+		cluster.await("after", completed, time.Minute)
+	})
+}
--- a/internal/domain/front.go
+++ b/internal/domain/front.go
@@ -19,6 +19,13 @@
 const (
 	// ownerRetryAfter is when a caller may come back while no owner takes jobs.
 	ownerRetryAfter = time.Second
+	// ownerWait bounds the wait of a submission for an owner. A lost owner is replaced within 3.5 s: suspicion after
+	// 2.5 s and 1 s of a stable view.
+	ownerWait = 5 * time.Second
+	// ownerRetry is the time between two tries of a submission that met no owner.
+	ownerRetry = 200 * time.Millisecond
+	// answerReserve is the part of the caller's time that is kept for the answer.
+	answerReserve = 300 * time.Millisecond
 	// explainTimeout bounds the wait for the owner's explanation in a status.
 	explainTimeout = 500 * time.Millisecond
 	// lookAgain is the time between two readings of a record whose creation is in doubt.
@@ -46,7 +53,7 @@
 	if _, ok := service.copies.get(key); ok {
 		return &callerv1.SubmitResponse{JobId: request.JobId, Duplicate: true}, nil
 	}
-	response, err := service.submitToOwner(ctx, key, &peerv1.SubmitJobRequest{
+	response, err := service.submitWhenOwned(ctx, key, &peerv1.SubmitJobRequest{
 		Organisation:   string(id),
 		Job:            request,
 		ConfigRevision: int64(config.Revision),
@@ -61,6 +68,32 @@
 	return &callerv1.SubmitResponse{JobId: request.JobId, Duplicate: response.Duplicate}, nil
 }
 
+// submitWhenOwned hands a job to the owner. While the owner changes, which proves that nothing was created, it tries
+// again until ownerWait has passed or the caller's deadline is near.
+func (service *Service) submitWhenOwned(ctx context.Context, key fleet.JobKey, request *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
+	end := time.Now().Add(ownerWait)
+	if deadline, ok := ctx.Deadline(); ok && deadline.Add(-answerReserve).Before(end) {
+		end = deadline.Add(-answerReserve)
+	}
+	for {
+		response, err := service.submitToOwner(ctx, key, request)
+		if !ownerChanges(response, err) || ctx.Err() != nil || !time.Now().Add(ownerRetry).Before(end) {
+			return response, err
+		}
+		service.count("submissions_repeated", 1)
+		sleep(ctx, ownerRetry)
+	}
+}
+
+// ownerChanges reports whether a submission met no owner or one that gives the domain up.
+func ownerChanges(response *peerv1.SubmitJobResponse, err error) bool {
+	kind := fault.Kind(response.GetKind())
+	if err != nil {
+		kind = fault.Of(err).Kind
+	}
+	return kind == fault.OwnerUnavailable || kind == fault.Draining
+}
+
 // submitToOwner hands a job to the owner, which may be this process.
 func (service *Service) submitToOwner(ctx context.Context, key fleet.JobKey, request *peerv1.SubmitJobRequest) (*peerv1.SubmitJobResponse, error) {
 	holder, ok := service.View.Owner(service.domain())
