--- /dev/null
+++ b/internal/peer/rendezvous.go
@@ -0,0 +1,44 @@
+package peer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"strconv"
+)
+
+// score is the weight of a node for a key in rendezvous hashing: the node with the highest score takes the key.
+func score(key, node string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(key))
+	_, _ = hash.Write([]byte{0})
+	_, _ = hash.Write([]byte(node))
+	return mix(hash.Sum64())
+}
+
+// mix spreads the bits of an FNV hash, whose high bits hardly depend on the last bytes (finalizer of SplitMix64).
+func mix(value uint64) uint64 {
+	value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9
+	value = (value ^ (value >> 27)) * 0x94d049bb133111eb
+	return value ^ (value >> 31)
+}
+
+// RankSeats returns all seats in the order in which rendezvous hashing gives them a key.
+func RankSeats(key string, seats int) []Seat {
+	type scored struct {
+		seat  Seat
+		score uint64
+	}
+	ranked := make([]scored, seats)
+	for i := range ranked {
+		ranked[i] = scored{Seat(i), score(key, strconv.Itoa(i))}
+	}
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.seat, b.seat))
+	})
+	order := make([]Seat, seats)
+	for i := range ranked {
+		order[i] = ranked[i].seat
+	}
+	return order
+}
