--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -70,20 +70,42 @@
 	group.exhausted[refusing.VM.ID] = time.Now().Add(group.router.random.jitter(exhaustedTime))
 }
 
-// forwardForSlot asks a peer to run a task on a slot of its own. It reports refused when the peer did not run it.
+// follow gives waiting requests to a peer that has just ended one: the slot is free now, while the heartbeat that
+// says so comes later. One more probes for further free slots, unless the peer refused just now.
+func (group *group) follow(to *peer.Peer) {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.dispatch()
+	grants := 1
+	if !time.Now().Before(group.exhausted[to.VM.ID]) {
+		grants++
+	}
+	for range min(grants, group.queue.total) {
+		group.queue.pop().granted <- grant{peer: to}
+	}
+}
+
+// forwardForSlot asks a peer to run a task on a slot of its own. It reports refused when the peer made no attempt
+// at a target, so that asking another one adds no load there.
 func (router *Router) forwardForSlot(task *task, group *group, to *peer.Peer) (response *callerv1.CallResponse, refused bool) {
 	router.count("forwards.slot")
-	response, proven := router.forward(task, to, &peerv1.ForwardCallRequest{
+	response, notRun := router.forward(task, to, &peerv1.ForwardCallRequest{
 		Organisation: string(task.organisation),
 		Call:         task.call,
 		Hops:         1,
 	}, group.longestTime())
-	if proven {
-		router.count("forwards.refused")
-		group.exhaust(to)
-		return nil, true
+	if !notRun {
+		if response.GetOutcome() != callerv1.Outcome_OUTCOME_UNKNOWN {
+			group.follow(to)
+		}
+		return response, false
+	}
+	if response.GetKind() == string(fault.NoTarget) {
+		return task.refused(fault.New(fault.NoTarget, "%s", response.GetReason())), false
 	}
-	return response, false
+	router.count("forwards.refused")
+	group.exhaust(to)
+	return nil, true
 }
 
 // forward sends a task to a peer. It reports notRun when the peer, or the connection to it, proves that the
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -46,7 +46,12 @@
 
 // hold is what this process knows of a lease that it keeps.
 type hold struct {
-	renew bool
+	// group is the gang that the lease is renewed with; nil while it is not renewed.
+	group *group
+	// kept is when the renewals began; from then on the worker knows the lease.
+	kept time.Time
+	// missing is true once the lease was found missing.
+	missing bool
 	// renewed is when the last renewal was sent.
 	renewed time.Time
 	// endsBy is when the lease must have ended unless it is renewed again.
@@ -67,16 +72,18 @@
 	}
 }
 
-// run syncs until the link is closed. The first sync comes at once, since a takeover waits for it.
+// run syncs until the link is closed. The first sync comes at once, since a takeover waits for it. The timer calls a
+// function and is never set to a moment that has come: with Go 1.26 the race detector crashes when several
+// goroutines of a synctest bubble run due timers themselves.
 func (link *link) run() {
-	timer := time.NewTimer(0)
+	timer := time.AfterFunc(link.pause(), link.nudge)
 	defer timer.Stop()
+	link.nudge()
 	for {
 		select {
 		case <-link.ctx.Done():
 			return
 		case <-link.kick:
-		case <-timer.C:
 		}
 		link.sync()
 		timer.Reset(link.pause())
@@ -117,18 +124,25 @@
 
 // nextRequest collects the renewals that are due. What a renewal may extend is noted before it is sent.
 func (link *link) nextRequest() *workerv1.SyncRequest {
-	link.mutex.Lock()
-	defer link.mutex.Unlock()
 	timing := link.manager.Timing
 	now := time.Now()
-	request := &workerv1.SyncRequest{
-		TtlMs:       timing.TaskLease.Milliseconds(),
-		Since:       link.since,
-		Acknowledge: link.acknowledge,
+	ttl := timing.TaskLease
+	renew := make(map[fleet.LeaseID]bool)
+	for id, gang := range link.dueRenewals(now) {
+		age := now.Sub(gang.confirmedAt(now))
+		if age > timing.RenewEvery {
+			continue
+		}
+		ttl = min(ttl, timing.TaskLease+timing.Margin-age)
+		renew[id] = true
 	}
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	request := &workerv1.SyncRequest{TtlMs: ttl.Milliseconds(), Since: link.since, Acknowledge: link.acknowledge}
 	link.acknowledge = nil
-	for id, hold := range link.holds {
-		if !hold.renew || now.Sub(hold.renewed) < timing.RenewEvery {
+	for id := range renew {
+		hold, ok := link.holds[id]
+		if !ok || hold.group == nil {
 			continue
 		}
 		request.Renew = append(request.Renew, string(id))
@@ -139,6 +153,19 @@
 	return request
 }
 
+// dueRenewals returns the leases to be renewed, with their gangs.
+func (link *link) dueRenewals(now time.Time) map[fleet.LeaseID]*group {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	due := make(map[fleet.LeaseID]*group)
+	for id, hold := range link.holds {
+		if hold.group != nil && now.Sub(hold.renewed) >= link.manager.Timing.RenewEvery {
+			due[id] = hold.group
+		}
+	}
+	return due
+}
+
 // miss notes a failed sync. Its renewals are due again, and its acknowledgements are kept.
 func (link *link) miss(request *workerv1.SyncRequest) Report {
 	link.mutex.Lock()
@@ -185,6 +212,7 @@
 		report.Changed = append(report.Changed, lease)
 	}
 	link.since = response.Revision
+	report.Gone = append(report.Gone, link.missingHolds(began)...)
 	if request.Since == 0 {
 		report.Gone = append(report.Gone, link.removeUnseen(seen)...)
 		link.mismatch = link.difference(response)
@@ -232,6 +260,20 @@
 	return gone
 }
 
+// missingHolds returns the renewed leases that the worker did not report although it once granted them, as after
+// a restart before the first sync that would have shown them.
+func (link *link) missingHolds(began time.Time) []fleet.LeaseID {
+	var missing []fleet.LeaseID
+	for id, hold := range link.holds {
+		if _, known := link.leases[id]; known || hold.group == nil || hold.missing || !hold.kept.Before(began) {
+			continue
+		}
+		hold.missing = true
+		missing = append(missing, id)
+	}
+	return missing
+}
+
 func (link *link) clear() []fleet.LeaseID {
 	return link.removeUnseen(nil)
 }
@@ -273,20 +315,26 @@
 	return link.answered && !link.lost
 }
 
-func (link *link) keep(id fleet.LeaseID, endsBy time.Time, renew bool) {
+func (link *link) isLost() bool {
 	link.mutex.Lock()
+	defer link.mutex.Unlock()
+	return link.lost
+}
+
+// hold notes when a lease must have ended, and renews it with its gang or, without one, no longer.
+func (link *link) hold(id fleet.LeaseID, endsBy time.Time, gang *group) {
+	link.mutex.Lock()
+	defer link.mutex.Unlock()
 	kept, ok := link.holds[id]
 	if !ok {
 		kept = &hold{}
 		link.holds[id] = kept
 	}
-	begin := renew && !kept.renew
-	kept.renew = renew
-	kept.endsBy = later(kept.endsBy, endsBy)
-	link.mutex.Unlock()
-	if begin {
-		link.nudge()
+	if gang != nil {
+		kept.kept = time.Now()
 	}
+	kept.group = gang
+	kept.endsBy = later(kept.endsBy, endsBy)
 }
 
 func (link *link) endsBy(id fleet.LeaseID) (time.Time, bool) {
--- a/pkg/scheduler/cells.go
+++ b/pkg/scheduler/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -14,6 +15,8 @@
 	shape fleet.Shape
 	// holdings is empty while the cell is not bound.
 	holdings []holding
+	// occupant is the job of the cell's shape that runs or claims here; nil if there is none.
+	occupant *entry
 }
 
 // cellKind is what equal cells have in common.
@@ -114,6 +117,9 @@
 
 // unbind uncovers the accelerators of a cell.
 func (core *Core) unbind(cell *cell) {
+	if cell.occupant != nil {
+		core.vacate(cell.occupant)
+	}
 	unit := resourcesOf(cell.shape)
 	for _, holding := range cell.holdings {
 		machine := holding.worker
@@ -151,6 +157,10 @@
 	return machine.capacity.covers(covered)
 }
 
+// smallFleet bounds the workers and cells of a fleet that is repacked whenever work that cannot be preempted
+// ends during a shortfall. A repacking of 12,000 workers takes longer than a decision may.
+const smallFleet = 2000
+
 // bindCells binds the cells that are not bound, as far as they find a place. It repacks all cells when that
 // binds more of them.
 func (core *Core) bindCells() {
@@ -165,7 +175,7 @@
 	if core.cellsMoved {
 		core.cellsMoved = false
 		core.listCellWorkers()
-		core.recheck = true
+		maps.DeleteFunc(core.feasible, func(question feasibility, _ bool) bool { return !question.preemptible })
 		core.version++
 	}
 }
@@ -232,6 +242,7 @@
 		if owner.cellsMoved {
 			owner.cellsMoved = false
 			owner.cellWorkers = nil
+			owner.cellsOf = map[fleet.Shape][]*cell{}
 			moved[owner] = map[*worker]struct{}{}
 		}
 	}
@@ -240,6 +251,9 @@
 		if !ok {
 			continue
 		}
+		if len(cell.holdings) > 0 {
+			cell.owner.cellsOf[cell.shape] = append(cell.owner.cellsOf[cell.shape], cell)
+		}
 		for _, holding := range cell.holdings {
 			core.steps++
 			if _, known := seen[holding.worker]; !known {
@@ -249,6 +263,7 @@
 		}
 	}
 	for owner := range moved {
-		slices.SortFunc(owner.cellWorkers, func(left, right *worker) int { return cmp.Compare(left.ID, right.ID) })
+		slices.SortFunc(owner.cellWorkers, compareLocation)
+		owner.roomVersion++
 	}
 }
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -29,6 +29,7 @@
 	bindVersion, bindTried uint64
 	// cellsMoved is set when lists that follow from the cells are out of date.
 	cellsMoved bool
+	packRounds int
 	// repack is set when a repacking of all cells may reduce the shortfall.
 	repack bool
 
@@ -38,11 +39,20 @@
 	// recheck is set when waiting jobs may have become infeasible.
 	recheck bool
 	// feasible holds answers that stay true until recheck is set.
-	feasible    map[feasibility]bool
+	feasible map[feasibility]bool
+	// pristine holds a new packing of the fleet; nil until it is needed.
+	pristine    *Core
 	quarantined int
+	// exhausted holds the searches that found nothing, with the version at that time.
+	exhausted map[searchKey]uint64
 	// version changes whenever capacity may have become free.
 	version uint64
 	steps   uint64
+	// budget is the accelerator-seconds that moving work may still lose; earned is when it last grew.
+	budget         float64
+	earned         time.Time
+	compacted      time.Time
+	nextCompaction time.Time
 	// decided collects the decisions until Decide returns them.
 	decided []Decision
 	history history
@@ -54,13 +64,15 @@
 func NewCore(settings Settings) *Core {
 	settings = settings.withDefaults()
 	return &Core{
-		settings: settings,
-		workers:  map[fleet.WorkerID]*worker{},
-		zoneOf:   map[fleet.DataCentreID]*zone{},
-		byID:     map[fleet.OrganisationID]*organisation{},
-		jobs:     map[fleet.JobKey]*entry{},
-		feasible: map[feasibility]bool{},
-		history:  newHistory(settings.History),
+		settings:   settings,
+		packRounds: packRounds,
+		workers:    map[fleet.WorkerID]*worker{},
+		zoneOf:     map[fleet.DataCentreID]*zone{},
+		byID:       map[fleet.OrganisationID]*organisation{},
+		jobs:       map[fleet.JobKey]*entry{},
+		feasible:   map[feasibility]bool{},
+		exhausted:  map[searchKey]uint64{},
+		history:    newHistory(settings.History),
 	}
 }
 
@@ -106,6 +118,7 @@
 
 // Decide returns what is to be done now and assumes in its state that it is being done.
 func (core *Core) Decide(now time.Time) []Decision {
+	core.earn(now)
 	core.readmit(now)
 	core.bindCells()
 	core.endOverruns(now)
@@ -139,6 +152,9 @@
 	if core.limits.Len() > 0 {
 		earliest(core.limits[0].at)
 	}
+	if core.waiting > 0 && !core.nextCompaction.IsZero() {
+		earliest(core.nextCompaction)
+	}
 	if core.quarantined > 0 {
 		earliest(core.nextReadmission())
 	}
--- a/pkg/scheduler/core_test.go
+++ b/pkg/scheduler/core_test.go
@@ -237,3 +237,59 @@
 		}
 	}
 }
+
+// Guards against a reclaim that stops work without a checkpoint while the cell could move to other work.
+func TestReclaimMovesTheCellAwayFromWorkThatWouldBeLost(t *testing.T) {
+	form := shape(1, 8, fleet.AdjacencyWorker)
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": {{Count: 1, Shape: form}}, "valve": nil})
+	harness := newHarness(t, machines(4, 4, 1), config)
+	rerun := preemptible("rerun", form, profile.UrgencyNormal)
+	rerun.Checkpoint = false
+	var expensive []fleet.JobKey
+	for range 3 {
+		harness.submit("valve", "caller", preemptible("saved", form, profile.UrgencyNormal), 10*time.Hour)
+		harness.decide()
+	}
+	expensive = append(expensive, harness.submit("valve", "caller", rerun, 10*time.Hour))
+	harness.decide()
+	harness.advance(time.Hour)
+	urgent := harness.submit("reed", "caller", preemptible("urgent", form, profile.UrgencyUrgent), time.Minute)
+	harness.decide()
+	harness.advance(urgentBound)
+	if _, ok := harness.first[urgent]; !ok {
+		t.Errorf("not started: %v", harness.core.Explain(urgent))
+	}
+	for _, key := range expensive {
+		if gang, ok := harness.gangs[key]; !ok || gang.place.Attempt != 1 {
+			t.Errorf("job %s lost an hour of work", key)
+		}
+	}
+}
+
+// Guards against a guaranteed shape that cannot be reclaimed because work of the same organisation of another
+// guaranteed shape, or a borrower that has only claimed the accelerators, fills its cell.
+func TestOwnWorkLeavesOtherShapesReclaimable(t *testing.T) {
+	single, pair := shape(1, 8, fleet.AdjacencyWorker), shape(2, 8, fleet.AdjacencyRack)
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{
+		"reed":  {{Count: 1, Shape: single}, {Count: 1, Shape: pair}},
+		"valve": {{Count: 1, Shape: single}},
+	})
+	harness := newHarness(t, machines(4, 4, 1), config)
+	for range 4 {
+		harness.submit("reed", "caller", preemptible("single", single, profile.UrgencyUrgent), time.Hour)
+	}
+	harness.decide()
+	harness.advance(30 * time.Second)
+	urgent := harness.submit("reed", "caller", preemptible("pair", pair, profile.UrgencyUrgent), time.Minute)
+	harness.decide()
+	harness.advance(urgentBound)
+	if _, ok := harness.first[urgent]; !ok {
+		t.Errorf("not started: %v", harness.core.Explain(urgent))
+	}
+	other := harness.submit("valve", "caller", preemptible("single", single, profile.UrgencyUrgent), time.Minute)
+	harness.decide()
+	harness.advance(urgentBound)
+	if _, ok := harness.first[other]; !ok {
+		t.Errorf("not started: %v", harness.core.Explain(other))
+	}
+}
