--- a/internal/peer/claim.go
+++ b/internal/peer/claim.go
@@ -95,8 +95,9 @@
 	if !ok || !listed(inventory, seats.VM.ID) {
 		return nil
 	}
+	announced := seats.announcedSeats()
 	seats.mu.Lock()
-	chosen, ok := seats.choose(inventory)
+	chosen, ok := seats.choose(inventory, announced)
 	if ok {
 		// One try until the watch shows what came of it, or until the next spread-out moment.
 		seats.claimFrom = seats.Now().Add(seatInterval + seats.spread())
@@ -122,8 +123,16 @@
 	return nil
 }
 
+func (seats *Seats) announcedSeats() map[Seat]bool {
+	announced := make(map[Seat]bool, seats.Count)
+	for seat := range Seat(seats.Count) {
+		announced[seat] = seats.Announced(seat)
+	}
+	return announced
+}
+
 // choose returns the seat to take: that of an earlier process of this VM, else a free one, else one whose VM is gone.
-func (seats *Seats) choose(inventory fleet.Inventory) (Seat, bool) {
+func (seats *Seats) choose(inventory fleet.Inventory, announced map[Seat]bool) (Seat, bool) {
 	if seats.own != NoSeat || seats.released || seats.claimFrom.IsZero() || seats.Now().Before(seats.claimFrom) {
 		return NoSeat, false
 	}
@@ -140,7 +149,7 @@
 	for _, rule := range rules {
 		for _, seat := range order {
 			known := seats.known[seat]
-			if known.olderSince.IsZero() && rule(known.record) && !seats.Announced(seat) {
+			if known.olderSince.IsZero() && rule(known.record) && !announced[seat] {
 				return seat, true
 			}
 		}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -63,8 +63,10 @@
 	}
 }
 
+// send sends one heartbeat. It does not wait longer than until the next one is due, so that a lost answer does not
+// delay it.
 func (membership *Membership) send(ctx context.Context, address string, request *peerv1.HeartbeatRequest) {
-	bounded, cancel := context.WithTimeout(ctx, membership.SuspectAfter/2)
+	bounded, cancel := context.WithTimeout(ctx, membership.Interval)
 	defer cancel()
 	response, err := membership.client(address).Heartbeat(bounded, connect.NewRequest(request))
 	if err != nil {
