--- a/internal/bench/record.go
+++ b/internal/bench/record.go
@@ -88,6 +88,8 @@
 	heldCores  fleet.Cores
 	heldMemory fleet.Bytes
 	foreign    fleet.Accelerators
+	// busy is true after the worker refused a placement, until it reports its accelerators.
+	busy bool
 	// lost is true while the worker does not respond; reported is true once the scheduler knows.
 	lost        bool
 	reported    bool
--- a/internal/bench/simulation.go
+++ b/internal/bench/simulation.go
@@ -266,7 +266,11 @@
 		busy := place.Members[0].Worker
 		simulation.record.guarantees.disturb(refusalSettling)
 		simulation.refusePlace(place, []fleet.WorkerID{busy}, refusalDelay)
-		simulation.after(foreignLease, func() { simulation.apply(scheduler.WorkerFound{Worker: busy}) })
+		simulation.record.workers[busy].busy = true
+		simulation.after(foreignLease, func() {
+			simulation.record.workers[busy].busy = false
+			simulation.apply(scheduler.WorkerFound{Worker: busy})
+		})
 		return
 	}
 	simulation.tasks[place.Job.Key].start(place)
