Measure completion time and slowdown by organisation, profile and size of caller

Change: histograms of completion time and slowdown, gauges of the fleet, queues and guarantees at the owner.

--- a/internal/domain/attempt.go
+++ b/internal/domain/attempt.go
@@ -455,18 +455,6 @@
 	return true
 }
 
-// countEnd counts an outcome, and the completion time of a completed job, by organisation and profile.
-func (owner *owner) countEnd(record *Record, outcome callerv1.Outcome) {
-	name := outcomeName(outcome)
-	labels := fmt.Sprintf("%s.%s", record.Organisation, record.Profile.Name)
-	owner.service.count("jobs_ended_"+name, 1)
-	owner.service.count("jobs_ended_"+name+"."+labels, 1)
-	if outcome == callerv1.Outcome_OUTCOME_COMPLETED {
-		owner.service.count("job_completion_ms."+labels, record.Ended.Sub(record.Submitted).Milliseconds())
-	}
-	owner.service.count("accelerator_ms."+labels, time.Duration(record.Used).Milliseconds())
-}
-
 func outcomeName(outcome callerv1.Outcome) string {
 	name := outcome.String()
 	return name[len("OUTCOME_"):]
--- /dev/null
+++ b/internal/domain/measures.go
@@ -0,0 +1,106 @@
+package domain
+
+import (
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
+)
+
+const (
+	// measureSample is the number of values that a histogram keeps; with 210 organisations of six profiles all
+	// histograms hold about 4 MB.
+	measureSample = 100
+	// measureEvery is the time between two readings of the scheduler's state.
+	measureEvery = 5 * time.Second
+	// maxCallers bounds the callers whose use is kept apart.
+	maxCallers = 10_000
+)
+
+// callerUse is the accelerator time that the callers of each organisation have used in this term.
+type callerUse struct {
+	byCaller map[fleet.CallerKey]time.Duration
+	total    map[fleet.OrganisationID]time.Duration
+	callers  map[fleet.OrganisationID]int
+}
+
+func newCallerUse() callerUse {
+	return callerUse{
+		byCaller: map[fleet.CallerKey]time.Duration{},
+		total:    map[fleet.OrganisationID]time.Duration{},
+		callers:  map[fleet.OrganisationID]int{},
+	}
+}
+
+// add notes a use and returns small for a caller that has used less than the mean of its organisation, else large.
+func (use callerUse) add(key fleet.CallerKey, used time.Duration) string {
+	if _, known := use.byCaller[key]; !known {
+		if len(use.byCaller) >= maxCallers {
+			return "large"
+		}
+		use.callers[key.Organisation]++
+	}
+	use.byCaller[key] += used
+	use.total[key.Organisation] += used
+	if use.byCaller[key]*time.Duration(use.callers[key.Organisation]) < use.total[key.Organisation] {
+		return "small"
+	}
+	return "large"
+}
+
+// countEnd counts an outcome, the accelerator time, and for a completed job its completion time and slowdown.
+func (owner *owner) countEnd(record *Record, outcome callerv1.Outcome) {
+	organisation, profile := string(record.Organisation), string(record.Profile.Name)
+	owner.service.count(metrics.Name("jobs_ended", "organisation", organisation, "outcome", outcomeName(outcome), "profile", profile), 1)
+	used := time.Duration(record.Used)
+	owner.service.count(metrics.Name("accelerator_ms", "organisation", organisation, "profile", profile), used.Milliseconds())
+	size := owner.use.add(fleet.CallerKey{Organisation: record.Organisation, Caller: record.Caller}, used)
+	if outcome != callerv1.Outcome_OUTCOME_COMPLETED {
+		return
+	}
+	completion := record.Ended.Sub(record.Submitted)
+	owner.observe(metrics.Name("job_completion_ms", "organisation", organisation, "profile", profile), completion.Milliseconds())
+	if running := used / time.Duration(max(1, record.Profile.Shape.Total())); running > 0 {
+		slowdown := int64(100 * completion / running)
+		owner.observe(metrics.Name("job_slowdown_percent", "callers", size, "organisation", organisation), slowdown)
+	}
+}
+
+func (owner *owner) observe(name string, value int64) {
+	histogram := owner.service.Metrics.GetOrRegister(name, func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewExpDecaySample(measureSample, 0.015))
+	})
+	if histogram, ok := histogram.(gometrics.Histogram); ok {
+		histogram.Update(value)
+	}
+}
+
+// measure reads the state of the scheduler into gauges, at most once in measureEvery.
+func (owner *owner) measure(now time.Time) {
+	if now.Sub(owner.measured) < measureEvery {
+		return
+	}
+	owner.measured = now
+	state, ok := owner.core.Dump().(scheduler.State)
+	if !ok {
+		return
+	}
+	owner.gauge("jobs_waiting", int64(state.Waiting))
+	owner.gauge("workers_quarantined", int64(state.Quarantined))
+	owner.gauge("accelerators_free", state.Free)
+	owner.gauge("guarantee_shortfalls", int64(len(state.Shortfalls)))
+	for _, organisation := range state.Organisations {
+		id := string(organisation.ID)
+		owner.gauge(metrics.Name("accelerators_held", "organisation", id), int64(organisation.Held))
+		owner.gauge(metrics.Name("accelerators_guaranteed", "organisation", id), int64(organisation.Guaranteed))
+		owner.gauge(metrics.Name("organisation_jobs_waiting", "organisation", id), int64(organisation.Waiting))
+	}
+}
+
+func (owner *owner) gauge(name string, value int64) {
+	gometrics.GetOrRegisterGauge(name, owner.service.Metrics).Update(value)
+}
--- /dev/null
+++ b/internal/domain/measures_test.go
@@ -0,0 +1,30 @@
+package domain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+// Guards against a large caller whose slowdown is counted among the small ones.
+func TestCallerUseTellsSmallFromLarge(t *testing.T) {
+	use := newCallerUse()
+	steps := []struct {
+		organisation fleet.OrganisationID
+		caller       fleet.CallerID
+		used         time.Duration
+		want         string
+	}{
+		{"a", "x", time.Hour, "large"},
+		{"a", "y", time.Minute, "small"},
+		{"b", "y", time.Minute, "large"},
+		{"a", "y", 2 * time.Hour, "large"},
+		{"a", "x", time.Minute, "small"},
+	}
+	for i, step := range steps {
+		if got := use.add(fleet.CallerKey{Organisation: step.organisation, Caller: step.caller}, step.used); got != step.want {
+			t.Errorf("step %d: %s of %s is %s, want %s", i, step.caller, step.organisation, got, step.want)
+		}
+	}
+}
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -72,9 +72,12 @@
 	settled   bool
 	settledAt time.Time
 	draining  bool
-	numbers   int64
-	probing   bool
-	probedAt  time.Time
+	use       callerUse
+	// measured is when the scheduler's state was last read into gauges.
+	measured time.Time
+	numbers  int64
+	probing  bool
+	probedAt time.Time
 }
 
 // profileKey identifies a profile across organisations.
@@ -99,6 +102,7 @@
 		foreign:    make(map[fleet.WorkerID]fleet.Accelerators),
 		stale:      make(map[fleet.WorkerID]time.Time),
 		creating:   make(map[profileKey]int),
+		use:        newCallerUse(),
 		creatingOf: make(map[fleet.OrganisationID]int),
 		waiting:    make(map[profileKey]int),
 		waitingOf:  make(map[fleet.OrganisationID]int),
@@ -171,6 +175,7 @@
 		}
 		owner.drainMailbox()
 		owner.tick(now)
+		owner.measure(now)
 		owner.decide()
 		owner.flush()
 		last = time.Now()
