Stop a loop of store calls over an unreadable document

Cause: after a document could not be loaded, the distributor read the head again and took it as news, which woke it at once without a wait.

The head is not read again at all, since the watch shows a head that replaces a document; the longest wait grows from 2 s to 10 s, as news from the watch or from a heartbeat ends it.

Conclusion: only the watch and the peers wake the distributor.

--- a/internal/operator/distributor.go
+++ b/internal/operator/distributor.go
@@ -98,7 +98,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { distributor.store.Watch(ctx, headKey, distributor.onChange()) })
-	backoff := platform.Backoff{First: 200 * time.Millisecond, Max: 2 * time.Second, Random: distributor.Random}
+	backoff := platform.Backoff{First: 200 * time.Millisecond, Max: 10 * time.Second, Random: distributor.Random}
 	for {
 		var retry <-chan time.Time
 		if err := distributor.CatchUp(ctx); err != nil && ctx.Err() == nil {
--- a/internal/operator/distributor_test.go
+++ b/internal/operator/distributor_test.go
@@ -247,3 +247,35 @@
 		}
 	})
 }
+
+// Guards against a loop of calls to the store over a document that this process cannot read.
+func TestUnreadableDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		formed := newCluster(t, 3)
+		formed.mustApply(formed.processes[0], set(0, "a", "reed", 1))
+		time.Sleep(2 * time.Second)
+		store := standin.NewDirect(formed.standin)
+		broken := []byte(`{"organisation":"moor"`)
+		accepted := formed.processes[0].state().head.next(
+			acceptedEdit{ID: "b", Revision: 2}, "moor", &documentRef{Number: 2, Sum: sumOf(broken)})
+		stored, err := store.Get(formed.ctx, headKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, documentErr := store.Swap(formed.ctx, documentKey("moor", 2), broken, 0)
+		_, headErr := store.Swap(formed.ctx, headKey, accepted.encode(), stored.Revision)
+		if documentErr != nil || headErr != nil {
+			t.Fatal(documentErr, headErr)
+		}
+		before := formed.standin.Calls().Store()
+		time.Sleep(time.Minute)
+		if calls := formed.standin.Calls().Store() - before; calls > 3*60 {
+			t.Errorf("%d calls of 3 processes in a minute, want at most one a second for each", calls)
+		} else {
+			t.Logf("%d calls of 3 processes in a minute", calls)
+		}
+		if count := formed.inForce(1); count != 3 {
+			t.Errorf("%d of 3 processes keep the configuration that they have", count)
+		}
+	})
+}
--- a/internal/operator/follow.go
+++ b/internal/operator/follow.go
@@ -40,14 +40,8 @@
 	case present.sameAs(seen.head):
 		return nil
 	}
-	if err := distributor.load(ctx, seen); err != nil {
-		// The document may have been replaced since; the next step looks at the newest head.
-		if newest, readErr := distributor.readHead(ctx); readErr == nil {
-			distributor.observe(newest)
-		}
-		return err
-	}
-	return nil
+	// A document that has been replaced since is missing; the watch then shows the head that replaced it.
+	return distributor.load(ctx, seen)
 }
 
 // load reads the missing documents of a head from the store and brings it into force.
--- a/internal/operator/harness_test.go
+++ b/internal/operator/harness_test.go
@@ -46,7 +46,7 @@
 
 func newProcess(index int, store platform.Store) *process {
 	created := &process{Distributor: NewDistributor(store), id: fleet.VMID(fmt.Sprintf("vm%d", index))}
-	created.Random = func() float64 { return float64(index%7) / 7 }
+	created.Random = func() float64 { return float64(index%7+1) / 8 }
 	created.Subscribe(func(config *profile.Config) {
 		created.mu.Lock()
 		defer created.mu.Unlock()
