Bound the cost of the request path and test slots of lost runs

Cause: four deliberate faults passed the tests: slots freed while their run goes on, the wait of a new seat holder skipped, a withdrawn request sent, "not run" told after an attempt that may have run. A fifth ignored the nearest data centre. Connect compressed every answer, also of a few bytes. Change: tests that fail on each of the five; cut connections among the failures of the stateful test (91 pairs); no compression below 16 KiB; counts and times of calls per organisation and profile; benchmarks beside a direct call.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -20,9 +20,11 @@
 const (
 	defaultMaxConcurrent = 2000
 	// defaultMaxMessage bounds a message of a caller; base64 in JSON makes a body a third longer.
-	defaultMaxMessage   = 2 << 20
-	refusalRetryAfter   = 500 * time.Millisecond
-	maxResponseMessage  = 32 << 20
+	defaultMaxMessage  = 2 << 20
+	refusalRetryAfter  = 500 * time.Millisecond
+	maxResponseMessage = 32 << 20
+	// Compressing a short answer takes longer than sending it.
+	minCompressed       = 16 << 10
 	retryAfterHeader    = "Retry-After"
 	errorKindHeader     = "Error-Kind"
 	authorisationHeader = "Authorization"
@@ -76,6 +78,7 @@
 	path, inner := callerv1connect.NewCallerServiceHandler(&service{server: server},
 		connect.WithReadMaxBytes(int(server.MaxMessage)),
 		connect.WithSendMaxBytes(maxResponseMessage),
+		connect.WithCompressMinBytes(minCompressed),
 		connect.WithRecover(server.recovered),
 	)
 	return path, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"connectrpc.com/connect"
+	gometrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/types/known/structpb"
 
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -21,6 +23,9 @@
 const (
 	maxInput       = 64 << 10
 	maxCallerBytes = 128
+	// The sample of call times covers about the last five minutes.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
 )
 
 var (
@@ -97,7 +102,9 @@
 	if call.GetRequestId() == "" {
 		call.RequestId = strings.ToLower(rand.Text())
 	}
+	started := time.Now()
 	response := connect.NewResponse(service.server.Calls.Call(ctx, who.organisation, call))
+	service.measure(who, call, response.Msg, time.Since(started))
 	if after := response.Msg.GetRetryAfterMs(); after > 0 {
 		response.Header().Set(retryAfterHeader, seconds(time.Duration(after)*time.Millisecond))
 	}
@@ -108,6 +115,18 @@
 	return response, nil
 }
 
+// measure counts the outcomes and keeps the times of calls, in microseconds, per organisation and profile.
+func (service *service) measure(who identity, call *callerv1.CallRequest, response *callerv1.CallResponse, took time.Duration) {
+	labels := []string{"organisation", string(who.organisation), "profile", call.GetProfile()}
+	// The registry makes the histogram, and its sample, only at the first call.
+	times := service.server.Metrics.GetOrRegister(metrics.Name("caller.call_us", labels...), func() gometrics.Histogram {
+		return gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(gometrics.Histogram)
+	times.Update(took.Microseconds())
+	outcome := append(labels, "outcome", response.GetOutcome().String())
+	gometrics.GetOrRegisterCounter(metrics.Name("caller.calls", outcome...), service.server.Metrics).Inc(1)
+}
+
 func identityOf(ctx context.Context) identity {
 	who, _ := ctx.Value(identityKey{}).(identity)
 	return who
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -133,6 +133,9 @@
 	target.leaving = time.Now()
 }
 
+// Cut closes every open connection; new ones work, and runs that have begun go on.
+func (target *Target) Cut() { target.wrapped.closeAll() }
+
 // Die ends the target at once: every connection is cut and new ones are refused.
 func (target *Target) Die() {
 	_ = target.Listener.Close()
--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -52,6 +55,9 @@
 	link, err := backend.pool.reserve(ctx)
 	cancel()
 	if err != nil {
+		if errors.Is(err, errNoConnection) {
+			router.count("limit.connections")
+		}
 		router.count("connections.failed")
 		group.failed(backend)
 		group.release(backend)
@@ -161,7 +167,7 @@
 }
 
 func (router *Router) countRefusal(kind fault.Kind) {
-	router.count("refusals." + string(kind))
+	router.counter(metrics.Name("target.refusals", "kind", string(kind))).Inc(1)
 }
 
 // Status tells what the home of a request id knows of it.
--- /dev/null
+++ b/internal/target/bench_test.go
@@ -0,0 +1,216 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/peer"
+	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+const (
+	benchTargets = 50
+	// benchSlots lets 1,000 requests run at once, so that nothing waits for a slot.
+	benchSlots = 20
+	// maxCostRatio bounds the request path in terms of a direct call.
+	maxCostRatio = 1.5
+)
+
+// soleView is the view of a process that owns every slot.
+type soleView struct{ peer.View }
+
+func (soleView) Live() []peer.Peer { return nil }
+
+func (soleView) OwnSeat() (peer.Seat, time.Time, bool) { return 0, time.Unix(0, 0), true }
+
+func (soleView) SeatHolder(peer.Seat) (peer.Peer, bool) { return peer.Peer{}, false }
+
+func (soleView) Seats() int { return 1 }
+
+// path is one way to bring requests to targets on loopback.
+type path struct {
+	record *standin.Record
+	call   func(id string) error
+}
+
+func startTargets(t testing.TB) ([]*standin.Target, *standin.Record) {
+	record := standin.NewRecord()
+	var targets []*standin.Target
+	for i := range benchTargets {
+		target, err := standin.New(fleet.TargetID(fmt.Sprintf("target-%d", i)), benchSlots, 60)
+		if err != nil {
+			t.Fatal(err)
+		}
+		target.Record = record
+		target.Start()
+		t.Cleanup(target.Close)
+		targets = append(targets, target)
+	}
+	return targets, record
+}
+
+// newDirectPath returns the path of a plain HTTP/2 client that spreads its requests over the targets.
+func newDirectPath(t testing.TB) *path {
+	targets, record := startTargets(t)
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: transport}
+	var next atomic.Int64
+	return &path{record: record, call: func(id string) error {
+		target := targets[next.Add(1)%benchTargets]
+		request, err := http.NewRequest(http.MethodPost, "http://"+target.Address()+"/run", bytes.NewReader([]byte("hello")))
+		if err != nil {
+			return err
+		}
+		request.Header.Set("Request-Id", "reed/"+id)
+		response, err := client.Do(request)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = response.Body.Close() }()
+		_, err = io.ReadAll(response.Body)
+		return err
+	}}
+}
+
+// newRoutedPath returns the path through a Router.
+func newRoutedPath(t testing.TB) *path {
+	targets, record := startTargets(t)
+	var list []fleet.Target
+	for _, target := range targets {
+		list = append(list, target.Fleet(testService, "ngara"))
+	}
+	router := &Router{
+		View: soleView{}, Configs: testConfig("reed"), Targets: func() []fleet.Target { return list },
+		DataCentre: "ngara", DefaultRequestTime: testLongest,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { _ = router.Run(ctx) })
+	t.Cleanup(func() { _ = router.Close(); cancel(); running.Wait() })
+	return &path{record: record, call: func(id string) error {
+		got := router.Call(context.Background(), "reed", &callerv1.CallRequest{
+			RequestId: id, Profile: "read", Caller: "c", Body: []byte("hello"),
+		})
+		if got.GetOutcome() != callerv1.Outcome_OUTCOME_COMPLETED {
+			return fmt.Errorf("%v", got)
+		}
+		return nil
+	}}
+}
+
+// cost is what calls took on average.
+type cost struct {
+	mean        time.Duration
+	allocations float64
+	connections int
+}
+
+// run makes calls from concurrent callers and returns their cost.
+func (path *path) run(t testing.TB, callers, calls int) cost {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var total, left atomic.Int64
+	left.Store(int64(calls))
+	var running sync.WaitGroup
+	for range callers {
+		running.Go(func() {
+			for n := left.Add(-1); n >= 0; n = left.Add(-1) {
+				started := time.Now()
+				if err := path.call(fmt.Sprint(n)); err != nil {
+					t.Error(err)
+				}
+				total.Add(int64(time.Since(started)))
+			}
+		})
+	}
+	running.Wait()
+	runtime.ReadMemStats(&after)
+	spent := cost{
+		mean:        time.Duration(total.Load() / int64(calls)),
+		allocations: float64(after.Mallocs-before.Mallocs) / float64(calls),
+	}
+	for i := range benchTargets {
+		spent.connections += path.record.Usage(fleet.TargetID(fmt.Sprintf("target-%d", i))).AcceptedConnections
+	}
+	return spent
+}
+
+// settle waits until at most limit goroutines are left and returns how many there are.
+func settle(limit int) int {
+	for range 1000 {
+		if runtime.NumGoroutine() <= limit {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return runtime.NumGoroutine()
+}
+
+// Guards against a request path that allocates over half more than a direct call, or whose goroutines or connections
+// grow. The ratio of times is checked by BenchmarkRequestPath, since the race detector distorts it.
+func TestRequestPathCost(t *testing.T) {
+	for _, callers := range []int{1, 100, 1000} {
+		t.Run(fmt.Sprint(callers), func(t *testing.T) {
+			directPath, routedPath := newDirectPath(t), newRoutedPath(t)
+			directPath.run(t, callers, 1000)
+			routedPath.run(t, callers, 1000)
+			goroutines := runtime.NumGoroutine()
+			direct := directPath.run(t, callers, 2000)
+			routed := routedPath.run(t, callers, 2000)
+			if ratio := routed.allocations / direct.allocations; ratio > maxCostRatio {
+				t.Errorf("%.0f allocations, %.2f times those of a direct call", routed.allocations, ratio)
+			}
+			if left := settle(goroutines); left > goroutines {
+				t.Errorf("%d goroutines after 2,000 calls, %d before", left, goroutines)
+			}
+			if routed.connections != benchTargets {
+				t.Errorf("%d connections opened to %d targets", routed.connections, benchTargets)
+			}
+		})
+	}
+}
+
+// BenchmarkRequestPath fails when the mean of the request path exceeds its bound. Both paths alternate, and the
+// best of several rounds counts, so that a pause of the machine counts for neither.
+func BenchmarkRequestPath(b *testing.B) {
+	const rounds = 7
+	for _, callers := range []int{1, 100, 1000} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			paths := []*path{newDirectPath(b), newRoutedPath(b)}
+			best := make([]cost, len(paths))
+			for b.Loop() {
+				for round := range rounds {
+					for i, path := range paths {
+						spent := path.run(b, callers, max(1000, 4*callers))
+						if round == 0 || spent.mean < best[i].mean {
+							best[i] = spent
+						}
+					}
+				}
+			}
+			ratio := float64(best[1].mean) / float64(best[0].mean)
+			b.ReportMetric(float64(best[0].mean.Nanoseconds()), "direct-ns")
+			b.ReportMetric(float64(best[1].mean.Nanoseconds()), "routed-ns")
+			b.ReportMetric(best[0].allocations, "direct-allocs")
+			b.ReportMetric(best[1].allocations, "routed-allocs")
+			b.ReportMetric(ratio, "ratio")
+			if ratio > maxCostRatio {
+				b.Errorf("mean of the request path is %.2f times that of a direct call", ratio)
+			}
+		})
+	}
+}
--- a/internal/target/limits_test.go
+++ b/internal/target/limits_test.go
@@ -206,6 +206,10 @@
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newCluster(t, 1, 4, nil)
 		defer cluster.stop()
+		// These move the rotation between equally used targets on to the other data centre.
+		for i := range 2 {
+			cluster.call(context.Background(), 0, newCall(fmt.Sprintf("first-%d", i), "read", "x"))
+		}
 		near := 0
 		for _, target := range cluster.all() {
 			if target.DataCentre == "ngara" {
--- a/internal/target/stateful_test.go
+++ b/internal/target/stateful_test.go
@@ -98,6 +98,7 @@
 var disturbances = map[string]func(step, *cluster, *oracle){
 	"none":    func(step, *cluster, *oracle) {},
 	"silence": func(step step, cluster *cluster, _ *oracle) { cluster.targets[step.target].Silence(3) },
+	"cut":     func(step step, cluster *cluster, _ *oracle) { cluster.targets[step.target].Cut() },
 	"death":   func(_ step, cluster *cluster, _ *oracle) { cluster.targets[0].Die() },
 	"leaving": func(_ step, cluster *cluster, _ *oracle) {
 		cluster.targets[1].Leave()
@@ -116,7 +117,7 @@
 }
 
 var disturbanceNames = []string{
-	"none", "silence", "death", "leaving", "replacement", "partition", "lost answers", "crossed", "truncated", "late",
+	"none", "silence", "cut", "death", "leaving", "replacement", "partition", "lost answers", "crossed", "truncated", "late",
 	"refused", "reset",
 }
 
