--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -79,6 +79,7 @@
 		connect.WithReadMaxBytes(int(server.MaxMessage)),
 		connect.WithSendMaxBytes(maxResponseMessage),
 		connect.WithCompressMinBytes(minCompressed),
+		connect.WithCodec(jsonCodec{}),
 		connect.WithRecover(server.recovered),
 	)
 	return path, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
@@ -177,10 +178,10 @@
 func (server *Server) refuse(writer http.ResponseWriter, request *http.Request, id fleet.OrganisationID, problem *fault.Error) {
 	server.noteRefusal(id, "", problem)
 	failure := errorOf(problem)
-	for name, values := range failure.Meta() {
-		writer.Header()[name] = values
-	}
 	if !server.errors.IsSupported(request) {
+		for name, values := range failure.Meta() {
+			writer.Header()[name] = values
+		}
 		http.Error(writer, problem.Error(), fault.AnswerFor(problem.Kind).HTTP)
 		return
 	}
--- a/internal/target/harness_test.go
+++ b/internal/target/harness_test.go
@@ -257,7 +257,7 @@
 
 // homeProcess returns the process that is the home of a request id of organisation reed.
 func (cluster *cluster) homeProcess(id string) int {
-	return int(rankSeats("reed/"+id, testSeats)[0])
+	return int(peer.RankSeats("reed/"+id, testSeats)[0])
 }
 
 // clusterView shows every process to every other one.
--- a/internal/target/limits_test.go
+++ b/internal/target/limits_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/internal/peer"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -213,7 +214,7 @@
 		near := 0
 		for _, target := range cluster.all() {
 			if target.DataCentre == "ngara" {
-				near += shareOf(target, rankSeats(string(target.ID), testSeats), 0).slots
+				near += shareOf(target, peer.RankSeats(string(target.ID), testSeats), 0).slots
 			}
 		}
 		for i := range near + 1 {
@@ -232,7 +233,7 @@
 	tests := []struct{ slots, connections, usable int }{{8, 60, 8}, {3, 60, 3}, {8, 4, 8}, {0, 60, 0}, {20, 7, 20}}
 	for _, test := range tests {
 		target := fleet.Target{ID: "target-1", Slots: test.slots, Connections: test.connections}
-		ranked := rankSeats(string(target.ID), testSeats)
+		ranked := peer.RankSeats(string(target.ID), testSeats)
 		var slots, connections int
 		for seat := range ranked {
 			own := shareOf(target, ranked, ranked[seat])
--- a/internal/target/router.go
+++ b/internal/target/router.go
@@ -43,7 +43,7 @@
 	DataCentre fleet.DataCentreID
 	// Distance orders data centres, 0 for the nearest; nil puts DataCentre before all others.
 	Distance func(fleet.DataCentreID) int
-	// RankSeats orders the seats for a key; every process must use the same one.
+	// RankSeats orders the seats for a key; every process must use the same one. Nil uses peer.RankSeats.
 	RankSeats func(key string, seats int) []peer.Seat
 	// Dial opens connections to targets; nil uses net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -91,7 +91,7 @@
 		setDefault(&router.MaxRecords, defaultMaxRecords)
 		setDefault(&router.MaxHeldAnswers, defaultMaxHeldAnswers)
 		if router.RankSeats == nil {
-			router.RankSeats = rankSeats
+			router.RankSeats = peer.RankSeats
 		}
 		if router.Dial == nil {
 			router.Dial = (&net.Dialer{}).DialContext
--- a/internal/target/share.go
+++ b/internal/target/share.go
@@ -1,10 +1,6 @@
 package target
 
 import (
-	"hash/fnv"
-	"sort"
-	"strconv"
-
 	"github.com/quetzalstall/quetzalstall/internal/peer"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
@@ -44,26 +40,3 @@
 	}
 	return owned
 }
-
-// rankSeats orders the seats for a key by rendezvous hashing.
-func rankSeats(key string, seats int) []peer.Seat {
-	weights := make([]uint64, seats)
-	ranked := make([]peer.Seat, seats)
-	for i := range seats {
-		hash := fnv.New64a()
-		_, _ = hash.Write([]byte(key + "/" + strconv.Itoa(i)))
-		weights[i] = mix(hash.Sum64())
-		ranked[i] = peer.Seat(i)
-	}
-	sort.Slice(ranked, func(i, j int) bool { return weights[ranked[i]] > weights[ranked[j]] })
-	return ranked
-}
-
-// mix spreads the hash over all bits; FNV alone leaves the last byte in the low ones.
-func mix(hash uint64) uint64 {
-	hash ^= hash >> 33
-	hash *= 0xff51afd7ed558ccd
-	hash ^= hash >> 33
-	hash *= 0xc4ceb9fe1a85ec53
-	return hash ^ hash>>33
-}
