--- a/internal/target/kept_test.go
+++ b/internal/target/kept_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/peer"
 )
 
 const (
@@ -48,7 +50,7 @@
 func (cluster *cluster) slotsOf(vm int) int {
 	total := 0
 	for _, target := range cluster.all() {
-		total += shareOf(target, rankSeats(string(target.ID), testSeats), cluster.process(vm).seat()).slots
+		total += shareOf(target, peer.RankSeats(string(target.ID), testSeats), cluster.process(vm).seat()).slots
 	}
 	return total
 }
--- a/internal/target/limits_test.go
+++ b/internal/target/limits_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/internal/peer"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -206,10 +207,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newCluster(t, 1, 4, nil)
 		defer cluster.stop()
+		// These move the rotation between equally used targets on to the other data centre.
+		for i := range 2 {
+			cluster.call(context.Background(), 0, newCall(fmt.Sprintf("first-%d", i), "read", "x"))
+		}
 		near := 0
 		for _, target := range cluster.all() {
 			if target.DataCentre == "ngara" {
-				near += shareOf(target, rankSeats(string(target.ID), testSeats), 0).slots
+				near += shareOf(target, peer.RankSeats(string(target.ID), testSeats), 0).slots
 			}
 		}
 		for i := range near + 1 {
@@ -228,7 +233,7 @@
 	tests := []struct{ slots, connections, usable int }{{8, 60, 8}, {3, 60, 3}, {8, 4, 8}, {0, 60, 0}, {20, 7, 20}}
 	for _, test := range tests {
 		target := fleet.Target{ID: "target-1", Slots: test.slots, Connections: test.connections}
-		ranked := rankSeats(string(target.ID), testSeats)
+		ranked := peer.RankSeats(string(target.ID), testSeats)
 		var slots, connections int
 		for seat := range ranked {
 			own := shareOf(target, ranked, ranked[seat])
