--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/profile"
 )
@@ -200,6 +201,9 @@
 	case callerv1.Outcome_OUTCOME_UNKNOWN:
 		result.RequestsUnknown++
 		result.UnknownKinds[request.kind]++
+		if demo.Scenario == ScenarioRolling && request.kind != string(fault.HistoryLost) {
+			result.add(&result.RequestsCut, "cut off", []string{request.id + ": " + request.kind})
+		}
 	default:
 		result.add(&result.LostAnswers, "no outcome", []string{request.id})
 	}
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -119,7 +119,7 @@
 		response, err := client.caller.Status(callCtx, connect.NewRequest(&callerv1.StatusRequest{RequestId: request.id}))
 		cancel()
 		if err == nil && response.Msg.Outcome != callerv1.Outcome_OUTCOME_PENDING {
-			load.tell(request, response.Msg.Outcome, response.Msg.Reason)
+			load.tell(request, response.Msg.Outcome, "told_by_status")
 			return
 		}
 	}
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -46,6 +46,10 @@
 	ConfigLate      int `json:"config_late"`
 	GuaranteesUnmet int `json:"guarantees_unmet"`
 
+	// RequestsCut counts the requests of the rolling scenario whose outcome is not known though they were sent; the
+	// home of a request that is not idempotent may refuse to run it, which cuts nothing off.
+	RequestsCut int `json:"requests_cut"`
+
 	// RefusedKinds counts the refusals that callers were told, by kind.
 	RefusedKinds map[string]int `json:"refused_kinds"`
 	// UnknownKinds counts the requests whose outcome is not known, by what their callers were told.
@@ -57,7 +61,7 @@
 // Broken returns the number of broken promises.
 func (result *Result) Broken() int {
 	return result.PartialGangs + result.DoubleRuns + result.UntrueAnswers + result.LostAnswers +
-		result.ConfigReverts + result.GuaranteesUnmet + result.SlotsExceeded
+		result.ConfigReverts + result.GuaranteesUnmet + result.SlotsExceeded + result.RequestsCut
 }
 
 // BrokenWithoutTime is Broken without the promises whose bounds are times on the wall clock, which a busy machine
@@ -107,6 +111,7 @@
 	row("guarantees unmet", result.GuaranteesUnmet)
 	row("slots exceeded", result.SlotsExceeded)
 	row("jobs restarted", result.JobsRestarted)
+	row("requests cut off", result.RequestsCut)
 	for _, detail := range result.Details {
 		row("", detail)
 	}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/quetzalstall/quetzalstall/internal/settings"
+	"github.com/quetzalstall/quetzalstall/internal/standin/deployment"
+	"github.com/quetzalstall/quetzalstall/internal/standin/target"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1/callerv1connect"
+	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1/operatorv1connect"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/profile"
+)
+
+// token is the bearer token of the organisation and of the operators; tokenHash is its SHA-256 hash.
+const (
+	token     = "secret"
+	tokenHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+)
+
+const document = `{"organisation": "org", "max_waiting": 10, "token_sha256": ["` + tokenHash + `"],
+ "profiles": [{"name": "ask", "service": "desk", "idempotent": true, "urgency": "normal",
+   "limits": {"max_waiting": 10, "max_run_time": "4s", "max_body_bytes": 1024}}]}`
+
+// running is one process over small stand-ins.
+type running struct {
+	node     *Node
+	standins *deployment.Standins
+	stop     context.CancelFunc
+	ended    chan error
+	url      string
+	calls    callerv1connect.CallerServiceClient
+	admin    operatorv1connect.OperatorServiceClient
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return listener
+}
+
+// startNode starts one process with two targets and applies the document.
+func startNode(t *testing.T, balancerDelay time.Duration, operatorTokenHash string) *running {
+	t.Helper()
+	callers, peers := listen(t), listen(t)
+	inventory := fleet.Inventory{Entries: []fleet.EntryVM{{ID: "entry-1", Address: peers.Addr().String(), Region: "r", DataCentre: "d"}}}
+	for i := range 2 {
+		inventory.Targets = append(inventory.Targets, fleet.Target{
+			ID: fleet.TargetID(fmt.Sprintf("target-%d", i)), Service: "desk", DataCentre: "d", Slots: 8, Connections: 60,
+		})
+	}
+	standins := deployment.New(inventory)
+	if err := standins.Start(); err != nil {
+		t.Fatal(err)
+	}
+	chosen := settings.Default()
+	chosen.VM, chosen.Region, chosen.DataCentre = "entry-1", "r", "d"
+	chosen.PeerAddress, chosen.StoreAddress = peers.Addr().String(), standins.PlatformAddress
+	chosen.Seats = 1
+	chosen.BalancerDelay = profile.Duration(balancerDelay)
+	chosen.OperatorTokenHash = operatorTokenHash
+	started := &running{node: New(chosen), standins: standins, ended: make(chan error, 1), url: "http://" + callers.Addr().String()}
+	started.node.CallerListener, started.node.PeerListener = callers, peers
+	ctx, stop := context.WithCancel(context.Background())
+	started.stop = stop
+	go func() { started.ended <- started.node.Run(ctx) }()
+	started.calls = callerv1connect.NewCallerServiceClient(http.DefaultClient, started.url)
+	started.admin = operatorv1connect.NewOperatorServiceClient(http.DefaultClient, started.url)
+	t.Cleanup(func() {
+		started.node.Kill()
+		if err := standins.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	return started
+}
+
+// eventually repeats a check until it succeeds; the limit only ends a run that would hang.
+func eventually(t *testing.T, what string, check func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); time.Now().Before(deadline); {
+		if check() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func (started *running) apply(t *testing.T) {
+	t.Helper()
+	eventually(t, "the document is accepted", func() bool {
+		request := connect.NewRequest(&operatorv1.ApplyRequest{EditId: "edit", Organisation: "org", DocumentJson: document})
+		request.Header().Set("Authorization", "Bearer "+token)
+		_, err := started.admin.Apply(context.Background(), request)
+		return err == nil
+	})
+}
+
+// call runs a request with a service time.
+func (started *running) call(id string, service time.Duration) (*callerv1.CallResponse, error) {
+	body, _ := json.Marshal(target.Behaviour{SleepMs: int(service.Milliseconds()), Answer: "answer to " + id})
+	request := connect.NewRequest(&callerv1.CallRequest{RequestId: id, Profile: "ask", Caller: "c", Body: body})
+	request.Header().Set("Authorization", "Bearer "+token)
+	response, err := started.calls.Call(context.Background(), request)
+	if err != nil {
+		return nil, err
+	}
+	return response.Msg, nil
+}
+
+func (started *running) readiness() int {
+	response, err := http.Get(started.url + "/ready")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against a planned stop that cuts off a request in flight, or that leaves the load balancer no time.
+func TestPlannedStopFinishesRequests(t *testing.T) {
+	started := startNode(t, time.Second, "")
+	if started.readiness() == http.StatusOK {
+		t.Error("the process is ready without a configuration")
+	}
+	started.apply(t)
+	eventually(t, "the process is ready and serves", func() bool {
+		response, err := started.call("first", 0)
+		return err == nil && response.Outcome == callerv1.Outcome_OUTCOME_COMPLETED && started.readiness() == http.StatusOK
+	})
+	type result struct {
+		response *callerv1.CallResponse
+		err      error
+	}
+	slow := make(chan result, 1)
+	go func() {
+		response, err := started.call("slow", 2500*time.Millisecond)
+		slow <- result{response, err}
+	}()
+	eventually(t, "the request runs", func() bool { return started.standins.TargetRecord.Runs("org/slow").Begun == 1 })
+	started.stop()
+	eventually(t, "the process is not ready", func() bool { return started.readiness() == http.StatusServiceUnavailable })
+	if response, err := started.call("late", 0); err != nil || response.Outcome != callerv1.Outcome_OUTCOME_COMPLETED {
+		t.Errorf("a call within the load balancer's delay: %v, %v", response, err)
+	}
+	done := <-slow
+	if done.err != nil || done.response.Outcome != callerv1.Outcome_OUTCOME_COMPLETED || string(done.response.Answer) != "answer to slow" {
+		t.Errorf("the request in flight got %v, %v", done.response, done.err)
+	}
+	if err := <-started.ended; err != nil {
+		t.Errorf("planned stop: %v", err)
+	}
+	started.ended <- nil
+}
+
+// Guards against a dump that shows a secret, or does not marshal.
+func TestDumpHoldsNoSecrets(t *testing.T) {
+	started := startNode(t, 0, tokenHash)
+	started.apply(t)
+	eventually(t, "the process is ready", func() bool { return started.readiness() == http.StatusOK })
+	text, err := json.Marshal(started.node.Dump())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, secret := range []string{tokenHash, token} {
+		if strings.Contains(string(text), secret) {
+			t.Errorf("the dump holds %q", secret)
+		}
+	}
+}
+
+// Guards against an operators' API that serves strangers when a token is set.
+func TestOperatorsNeedTheToken(t *testing.T) {
+	reached := false
+	handler := requireToken(tokenHash,
+		http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached = true }))
+	for _, test := range []struct {
+		header string
+		served bool
+	}{{"", false}, {"Bearer wrong", false}, {token, true}, {"Bearer " + token, true}} {
+		reached = false
+		request, _ := http.NewRequest(http.MethodPost, "/", nil)
+		request.Header.Set("Authorization", test.header)
+		handler.ServeHTTP(&discard{header: http.Header{}}, request)
+		if reached != test.served {
+			t.Errorf("header %q: served %v, want %v", test.header, reached, test.served)
+		}
+	}
+}
+
+// discard is a response writer that keeps nothing.
+type discard struct{ header http.Header }
+
+func (writer *discard) Header() http.Header            { return writer.header }
+func (writer *discard) Write(text []byte) (int, error) { return len(text), nil }
+func (writer *discard) WriteHeader(int)                {}
