--- a/internal/peer/harness_test.go
+++ b/internal/peer/harness_test.go
@@ -20,7 +20,7 @@
 
 func TestMain(m *testing.M) {
 	_ = flag.Set("rapid.seed", "7")
-	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.checks", "300")
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -135,7 +135,7 @@
 		crashed, restarted, drained := holders[0][0], holders[1][0], holders[2][0]
 
 		formed.standin.SetDown(true)
-		time.Sleep(10 * time.Minute)
+		time.Sleep(3 * time.Minute)
 		one("outage", 7)
 		formed.standin.SetDown(false)
 		time.Sleep(5 * time.Second)
