Read the view without the lock of a service, and test a planned stop

Cause: the membership view asks the router for its free slots, and the router asked the view while it held the lock that the answer needs; a view that holds its own lock meanwhile would stop both. A test view did so and hung. Change: the view is read first. A test of Close with requests in flight, new ones and copies. Result: before, TestRetryBudget and two others hung with such a view; all tests of the package pass with -race, the new one 10 times.

--- a/internal/target/faults_test.go
+++ b/internal/target/faults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
+	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
 	"github.com/quetzalstall/quetzalstall/pkg/profile"
 )
@@ -164,3 +165,43 @@
 		}
 	})
 }
+
+// Guards against a stop that interrupts a request in flight or takes a new one, and against "not run" for a repeated
+// request whose history the stopping process no longer consults.
+func TestCloseFinishesRequestsInFlight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newCluster(t, testSeats, 2, nil)
+		defer cluster.stop()
+		home := cluster.homeProcess("a")
+		first := make(chan callerv1.Outcome, 1)
+		go func() {
+			first <- cluster.call(context.Background(), home, newCall("a", "write", `{"sleep_ms": 1000}`)).GetOutcome()
+		}()
+		time.Sleep(100 * time.Millisecond)
+		closed := make(chan struct{})
+		go func() { _ = cluster.process(home).Close(); close(closed) }()
+		time.Sleep(100 * time.Millisecond)
+		if got := cluster.call(context.Background(), home, newCall("b", "read", "x")); got.GetKind() != string(fault.Draining) {
+			t.Errorf("new request during the stop: %v", got)
+		}
+		again := newCall("a", "write", "x")
+		again.Resubmission = true
+		for process := range cluster.processes {
+			if got := cluster.call(context.Background(), process, again); got.GetOutcome() != unsure {
+				t.Errorf("copy at %d during the stop: %v", process, got)
+			}
+		}
+		select {
+		case <-closed:
+			t.Error("the stop did not wait for the request in flight")
+		default:
+		}
+		if got := <-first; got != completed {
+			t.Errorf("request in flight ended %v", got)
+		}
+		<-closed
+		if begun := cluster.record.Begun(); begun != 1 {
+			t.Errorf("%d runs, want 1", begun)
+		}
+	})
+}
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -23,30 +23,30 @@
 )
 
 // candidates returns the ready peers that report free slots and did not refuse just now. It needs the lock.
-func (group *group) candidates() []peer.Peer {
+func (group *group) candidates(live []peer.Peer) []peer.Peer {
 	now := time.Now()
 	var result []peer.Peer
-	for _, live := range group.router.View.Live() {
-		exhausted := now.Before(group.exhausted[live.VM.ID])
-		if live.Client != nil && live.Ready && live.FreeSlots[group.service] > 0 && !exhausted {
-			result = append(result, live)
+	for _, known := range live {
+		exhausted := now.Before(group.exhausted[known.VM.ID])
+		if known.Client != nil && known.Ready && known.FreeSlots[group.service] > 0 && !exhausted {
+			result = append(result, known)
 		}
 	}
 	return result
 }
 
 // freeAtPeers returns the slots that peers report free. It needs the lock.
-func (group *group) freeAtPeers() int {
+func (group *group) freeAtPeers(live []peer.Peer) int {
 	total := 0
-	for _, candidate := range group.candidates() {
+	for _, candidate := range group.candidates(live) {
 		total += candidate.FreeSlots[group.service]
 	}
 	return total
 }
 
 // pickPeer takes two peers at random and returns the one with more free slots. It needs the lock.
-func (group *group) pickPeer() (peer.Peer, bool) {
-	candidates := group.candidates()
+func (group *group) pickPeer(live []peer.Peer) (peer.Peer, bool) {
+	candidates := group.candidates(live)
 	if len(candidates) == 0 {
 		return peer.Peer{}, false
 	}
--- a/internal/target/group.go
+++ b/internal/target/group.go
@@ -52,17 +52,21 @@
 	if task.isGone() || !time.Now().Before(task.deadline) {
 		return grant{refusal: fault.New(fault.DeadlineBeforeStart, "the deadline passed or the caller left before the request was sent")}
 	}
+	if chosen := group.takeFree(); chosen != nil {
+		return grant{backend: chosen}
+	}
+	if task.forwarded {
+		return grant{refusal: fault.New(fault.QueueFull, "no slot of this process is free")}
+	}
+	// The view asks this group for its free slots, so it is read without the lock.
+	live := group.router.View.Live()
 	group.mu.Lock()
 	if group.queue.total == 0 {
-		if given, ok := group.grantNow(task); ok {
+		if given, ok := group.grantNow(live); ok {
 			group.mu.Unlock()
 			return given
 		}
 	}
-	if task.forwarded {
-		group.mu.Unlock()
-		return grant{refusal: fault.New(fault.QueueFull, "no slot of this process is free")}
-	}
 	waiting := &waiter{task: task, granted: make(chan grant, 1)}
 	if refusal := group.enqueue(waiting); refusal != nil {
 		group.mu.Unlock()
@@ -73,15 +77,22 @@
 	return group.wait(waiting)
 }
 
+// takeFree takes a free slot unless other requests wait for one.
+func (group *group) takeFree() *backend {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	if group.queue.total > 0 {
+		return nil
+	}
+	return group.pick()
+}
+
 // grantNow needs the lock.
-func (group *group) grantNow(task *task) (grant, bool) {
+func (group *group) grantNow(live []peer.Peer) (grant, bool) {
 	if chosen := group.pick(); chosen != nil {
 		return grant{backend: chosen}, true
 	}
-	if task.forwarded {
-		return grant{}, false
-	}
-	if chosen, ok := group.pickPeer(); ok {
+	if chosen, ok := group.pickPeer(live); ok {
 		return grant{peer: &chosen}, true
 	}
 	return grant{}, false
@@ -182,17 +193,17 @@
 
 // dispatchToPeers serves the queue with the slots that peers report free.
 func (group *group) dispatchToPeers() {
-	group.mu.Lock()
-	defer group.mu.Unlock()
-	group.dispatch()
-	if group.queue.total == 0 {
+	if group.serveQueue() == 0 {
 		return
 	}
-	for range group.freeAtPeers() {
+	live := group.router.View.Live()
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	for range group.freeAtPeers(live) {
 		if group.queue.total == 0 {
 			return
 		}
-		chosen, ok := group.pickPeer()
+		chosen, ok := group.pickPeer(live)
 		if !ok {
 			return
 		}
@@ -200,6 +211,14 @@
 	}
 }
 
+// serveQueue dispatches and returns the requests that still wait.
+func (group *group) serveQueue() int {
+	group.mu.Lock()
+	defer group.mu.Unlock()
+	group.dispatch()
+	return group.queue.total
+}
+
 func (group *group) longestTime() time.Duration {
 	group.mu.Lock()
 	defer group.mu.Unlock()
