Count a request towards retries only where it is retried

Cause: a request that is not idempotent was counted by the process that received it and by its home, so both could spend retries on it. Change: only the process that makes the attempts counts it; the test covers both kinds of profiles, and also bounds the retries saved up.

--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -23,6 +23,10 @@
 
 func (router *Router) attempts(task *task) *callerv1.CallResponse {
 	group := router.groupOf(task.profile.Service)
+	if !task.forwarded {
+		// Only the process that may retry a request counts it.
+		router.budget.deposit()
+	}
 	for attempt := 1; ; {
 		given := group.acquire(task)
 		if given.refusal != nil {
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -173,8 +173,6 @@
 	if !request.GetAsHome() {
 		task.forwarded = true
 		run = router.runHere
-	} else {
-		router.budget.deposit()
 	}
 	go router.serve(task, run)
 	// The peer answers its caller at the deadline; it still wants to know how the request ended.
--- a/internal/target/limits_test.go
+++ b/internal/target/limits_test.go
@@ -176,26 +176,41 @@
 	})
 }
 
-// Guards against retries that multiply the load when everything fails.
+// Guards against retries that multiply the load when everything fails. A request that is not idempotent passes two
+// processes, which must not both count it towards their retries.
 func TestRetryBudget(t *testing.T) {
-	for _, broken := range []standin.Fault{standin.FaultRefused, standin.FaultTruncated, standin.FaultReset} {
-		t.Run(fmt.Sprint(broken), func(t *testing.T) {
+	tests := []struct {
+		broken  standin.Fault
+		profile string
+	}{
+		{standin.FaultRefused, "read"}, {standin.FaultTruncated, "read"}, {standin.FaultReset, "read"},
+		{standin.FaultRefused, "write"},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprint(test.broken, test.profile), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var attempts atomic.Int64
 				cluster := newCluster(t, testSeats, 20, func(cluster *cluster) {
 					for _, target := range cluster.targets {
-						target.Fault = func(string) standin.Fault { attempts.Add(1); return broken }
+						target.Fault = func(string) standin.Fault { attempts.Add(1); return test.broken }
 					}
 				})
 				defer cluster.stop()
 				const requests = testSeats * 100
-				outcomes := cluster.load(testSeats, 1, 100, "read", "x")
+				outcomes := cluster.load(testSeats, 1, 100, test.profile, "x")
 				if got := attempts.Load(); got > requests*11/10 {
 					t.Errorf("%d attempts for %d requests", got, requests)
 				}
-				if outcomes[completed] != 0 || broken != standin.FaultRefused && outcomes[unsure] == 0 {
+				if outcomes[completed] != 0 || test.broken != standin.FaultRefused && outcomes[unsure] == 0 {
 					t.Errorf("outcomes %v", outcomes)
 				}
+				saved := 0.0
+				for _, process := range cluster.processes {
+					saved += process.budget.left()
+				}
+				if granted := float64(attempts.Load()-requests) + saved; granted > requests*retryShare+0.01 {
+					t.Errorf("%.1f retries made or saved up by %d requests", granted, requests)
+				}
 			})
 		})
 	}
--- a/internal/target/router.go
+++ b/internal/target/router.go
@@ -177,7 +177,6 @@
 		router.countRefusal(fault.Draining)
 		return unproven(call, fault.New(fault.Draining, "the process is stopping"))
 	}
-	router.budget.deposit()
 	go router.serve(task, router.start)
 	return router.await(ctx, task)
 }
