Move work of organisations with much more attained service

A waiting job moves work that can checkpoint and belongs to an organisation with twice the attained service over its guarantee, urgent work beyond its guarantee included, within a budget of 0.5% of the accelerator time. The excess of an organisation on a worker no longer counts its work that cannot be preempted, so that work in its own cells is not taken for borrowed.

--- a/pkg/scheduler/compaction.go
+++ b/pkg/scheduler/compaction.go
@@ -45,30 +45,34 @@
 		elapsed := now.Sub(core.earned).Seconds()
 		core.budget += core.settings.LossShare * held * elapsed
 		core.budget = min(core.budget, core.settings.LossShare*held*budgetWindow.Seconds())
+		core.fairBudget += core.settings.FairLossShare * held * elapsed
+		core.fairBudget = min(core.fairBudget, core.settings.FairLossShare*held*budgetWindow.Seconds())
 	}
 	core.earned = now
 }
 
+// overservedFactor is by how much the attained service of two organisations over their guarantees differs
+// before work of one is moved for the other.
+const overservedFactor = 2
+
 // budgetWindow bounds the time over which an unused budget for lost work is saved.
 const budgetWindow = time.Hour
 
-// displace claims room for a waiting job by moving preemptible work.
+// displace claims room for a waiting job by moving preemptible work: first that of organisations with much
+// more attained service, then any.
 func (core *Core) displace(now time.Time, job *entry) bool {
-	limit := min(core.gain(now, job), core.budget)
-	if limit <= 0 {
+	gain := core.gain(now, job)
+	holdings, victims, loss := core.planDisplacement(now, job, core.overservedOn)
+	if holdings != nil && loss <= min(gain, core.fairBudget) {
+		core.fairBudget -= loss
+		core.claim(now, job, holdings, victims, "has attained less service than what it displaces")
+		return true
+	}
+	if min(gain, core.budget) <= 0 {
 		return false
 	}
-	candidates := core.displaceCandidates(now, job)
-	holdings := core.assemble(job.shape(), candidates)
-	if holdings == nil {
-		return false
-	}
-	victims, enough := core.chooseVictims(now, job, holdings, core.movableOn)
-	if !enough {
-		return false
-	}
-	loss := core.totalLoss(now, victims)
-	if loss > limit || !core.movable(now, job, holdings, victims) {
+	holdings, victims, loss = core.planDisplacement(now, job, core.movableOn)
+	if holdings == nil || loss > min(gain, core.budget) || !core.movable(now, job, holdings, victims) {
 		return false
 	}
 	core.budget -= loss
@@ -76,6 +80,28 @@
 	return true
 }
 
+// planDisplacement chooses accelerators and the gangs to evict from them, with the work lost.
+func (core *Core) planDisplacement(now time.Time, job *entry, list victimsFunc) ([]holding, []*entry, float64) {
+	holdings := core.assemble(job.shape(), core.displaceCandidates(now, job, list))
+	if holdings == nil {
+		return nil, nil, 0
+	}
+	victims, enough := core.chooseVictims(now, job, holdings, list)
+	if !enough {
+		return nil, nil, 0
+	}
+	return holdings, victims, core.totalLoss(now, victims)
+}
+
+// overservedOn lists the gangs on a worker that can checkpoint and belong to organisations with much more
+// attained service over their guarantee than the job's.
+func (core *Core) overservedOn(now time.Time, job *entry, machine *worker) []*entry {
+	return slices.DeleteFunc(core.movableOn(now, job, machine), func(gang *entry) bool {
+		much := gang.organisation.priority > overservedFactor*job.organisation.priority
+		return !much || gang.organisation == job.organisation || !gang.job.Profile.Checkpoint || !gang.job.Profile.Idempotent
+	})
+}
+
 // gain estimates the accelerator time that a start now saves. A job that has waited for some time is taken
 // to wait as long again; declared run times play no part.
 func (core *Core) gain(now time.Time, job *entry) float64 {
@@ -111,10 +137,14 @@
 		if !gang.preemptible || !settled || gang.eviction != evictionNone || gang.cancelled {
 			continue
 		}
-		if gang.urgent() || gang.job.Profile.Urgency > job.job.Profile.Urgency && gang.organisation == job.organisation {
+		own := gang.organisation == job.organisation
+		if own && (gang.urgent() || gang.job.Profile.Urgency > job.job.Profile.Urgency) {
+			continue
+		}
+		if gang.urgent() && (gang.cell != nil || core.hasIdleCell(gang)) {
 			continue
 		}
-		if gang.organisation == job.organisation || over[gang.organisation.tenant][0] > 0 {
+		if own || over[gang.organisation.tenant][0] > 0 {
 			victims = append(victims, gang)
 		}
 	}
@@ -123,7 +153,7 @@
 }
 
 // displaceCandidates lists workers that could hold members if gangs were moved.
-func (core *Core) displaceCandidates(now time.Time, job *entry) []candidate {
+func (core *Core) displaceCandidates(now time.Time, job *entry, list victimsFunc) []candidate {
 	var candidates []candidate
 	for _, machine := range core.roomiest(job.shape()) {
 		core.steps++
@@ -137,7 +167,7 @@
 		if most = min(most, job.shape().Members); most == 0 {
 			continue
 		}
-		slots, cost := core.evictionCost(now, job, machine, most, core.movableOn)
+		slots, cost := core.evictionCost(now, job, machine, most, list)
 		if slots > 0 {
 			candidates = append(candidates, candidate{machine, slots, cost})
 		}
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -49,7 +49,9 @@
 	version uint64
 	steps   uint64
 	// budget is the accelerator-seconds that moving work may still lose; earned is when it last grew.
-	budget         float64
+	budget float64
+	// fairBudget is the same for moving work of organisations with more attained service.
+	fairBudget     float64
 	earned         time.Time
 	compacted      time.Time
 	nextCompaction time.Time
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -46,13 +46,14 @@
 	return own.cell.minus(used).positive()
 }
 
-// excess tracks by how much each tenant exceeds its cells on one worker while victims are chosen.
+// excess tracks what each tenant's work that can be preempted uses beyond its cells on one worker, while
+// victims are chosen.
 type excess map[int]resources
 
 func excessOf(machine *worker) excess {
 	result := excess{}
 	for _, share := range machine.shares {
-		result[share.tenant] = share.used.minus(share.cell)
+		result[share.tenant] = share.used.minus(share.cell.atLeast(share.pinned))
 	}
 	return result
 }
--- a/pkg/scheduler/resources.go
+++ b/pkg/scheduler/resources.go
@@ -56,6 +56,14 @@
 	return amount
 }
 
+// atLeast returns the larger amount of each resource.
+func (amount resources) atLeast(other resources) resources {
+	for i := range amount {
+		amount[i] = max(amount[i], other[i])
+	}
+	return amount
+}
+
 // covers reports whether amount holds at least other of each resource.
 func (amount resources) covers(other resources) bool {
 	for i := range amount {
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -16,11 +16,11 @@
 // prioritise computes the order of organisations and callers for one decision.
 func (core *Core) prioritise(now time.Time) {
 	for _, owner := range core.organisations {
+		owner.priority = core.normalised(now, owner)
 		if owner.queue.waiting == 0 {
 			continue
 		}
 		owner.queue.sweep()
-		owner.priority = core.normalised(now, owner)
 		for _, group := range owner.queue.ordered {
 			core.relent(now, group)
 			group.caller.priority = core.service(now, &group.caller.account)
--- a/pkg/scheduler/settings.go
+++ b/pkg/scheduler/settings.go
@@ -35,6 +35,8 @@
 	CompactionInterval time.Duration `json:"compaction_interval"`
 	// LossShare is the share of the accelerator time in use that moving work may lose.
 	LossShare float64 `json:"loss_share"`
+	// FairLossShare is the same for moving work of organisations with much more attained service.
+	FairLossShare float64 `json:"fair_loss_share"`
 	// GainFactor scales the gain of a start, which is weighed against the work lost.
 	GainFactor float64 `json:"gain_factor"`
 	// MinRun is the time for which a gang runs before it may be moved.
@@ -65,6 +67,7 @@
 		RetryAfter:         5 * time.Second,
 		CompactionInterval: time.Second,
 		LossShare:          0.002,
+		FairLossShare:      0.005,
 		GainFactor:         1,
 		AvoidTime:          30 * time.Second,
 		MinRun:             20 * time.Second,
@@ -87,6 +90,7 @@
 	setDefault(&settings.RetryAfter, defaults.RetryAfter)
 	setDefault(&settings.CompactionInterval, defaults.CompactionInterval)
 	setDefault(&settings.LossShare, defaults.LossShare)
+	setDefault(&settings.FairLossShare, defaults.FairLossShare)
 	setDefault(&settings.GainFactor, defaults.GainFactor)
 	setDefault(&settings.MinRun, defaults.MinRun)
 	setDefault(&settings.AvoidTime, defaults.AvoidTime)
