--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -87,7 +87,7 @@
 // Measure runs every measurement and writes the tables.
 func Measure(ctx context.Context, out io.Writer) error {
 	measurements := []func(context.Context) (Series, error){
-		workerSync, heartbeat, configDocuments, configPacking, jobCopies, storeWatch,
+		workerSync, heartbeat, configDocuments, configHead, configPacking, jobCopies, storeWatch, listRead,
 	}
 	for _, measurement := range measurements {
 		series, err := measurement(ctx)
--- a/internal/demo/judge.go
+++ b/internal/demo/judge.go
@@ -97,6 +97,9 @@
 	result.add(&result.ConfigReverts, "configuration", demo.config.problems)
 	result.ConfigLate = demo.config.lateCount
 	result.JobsRestarted = demo.restarted()
+	calls := demo.standins.Platform.Calls()
+	result.StoreReads, result.StoreWrites = calls.Get+calls.List, calls.Swap+calls.Delete
+	result.StoreWatches, result.ListReads = calls.Watch, calls.ListVMs
 	demo.judgeJobs()
 	demo.judgeRequests()
 	demo.judgeTargets()
--- a/internal/demo/result.go
+++ b/internal/demo/result.go
@@ -50,6 +50,12 @@
 	// home of a request that is not idempotent may refuse to run it, which cuts nothing off.
 	RequestsCut int `json:"requests_cut"`
 
+	// StoreReads, StoreWrites and StoreWatches count the calls to the platform's store, ListReads those to its list.
+	StoreReads   int `json:"store_reads"`
+	StoreWrites  int `json:"store_writes"`
+	StoreWatches int `json:"store_watches"`
+	ListReads    int `json:"list_reads"`
+
 	// RefusedKinds counts the refusals that callers were told, by kind.
 	RefusedKinds map[string]int `json:"refused_kinds"`
 	// UnknownKinds counts the requests whose outcome is not known, by what their callers were told.
@@ -101,6 +107,7 @@
 		result.RequestsCompleted, result.RequestsFailed, result.RequestsNotRun, result.RequestsUnknown))
 	row("configuration edits", result.ConfigEdits)
 	row("guarantee probes", result.GuaranteeProbes)
+	row("store", fmt.Sprintf("%d reads, %d writes, %d watches", result.StoreReads, result.StoreWrites, result.StoreWatches))
 	rowKinds(row, "refused", result.RefusedKinds)
 	rowKinds(row, "unknown", result.UnknownKinds)
 	row("partial gangs", result.PartialGangs)
