Send the VM list only after a change

Cause: one full reading a second costs 75 KB/s and 70 ms of processor time (both ends) at 12,000 VMs; control may use 6 KB/s and 1.3% of a core. Change: a reading names the revision that the caller holds; the list answers that it is unchanged.

--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -76,9 +76,10 @@
 		if err != nil {
 			return series, err
 		}
-		list := platform.NewVMList(platformv1connect.NewVMListServiceClient(client, url), metrics.NewRegistry())
+		stub := platformv1connect.NewVMListServiceClient(client, url)
 		read := func() error {
-			_, err := list.ListVMs(ctx)
+			// A new list holds no reading, so that each call is a full one.
+			_, err := platform.NewVMList(stub, metrics.NewRegistry()).ListVMs(ctx)
 			return err
 		}
 		if err := read(); err != nil {
--- a/internal/platform/vmlist.go
+++ b/internal/platform/vmlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -20,6 +21,10 @@
 
 	client  platformv1connect.VMListServiceClient
 	metrics metrics.Registry
+
+	mu sync.Mutex
+	// last is the newest reading; it is returned again while the list has not changed.
+	last fleet.Inventory
 }
 
 // NewVMList returns a list over client that counts its calls in registry as platform.vm_list.<outcome>.
@@ -29,17 +34,32 @@
 
 var _ VMList = (*RemoteVMList)(nil)
 
-// ListVMs returns the current reading of the list, or ErrUnavailable.
+// ListVMs returns the current reading of the list, which must not be changed, or ErrUnavailable. A list that has not
+// changed is not sent again: at 12,000 VMs one reading a second would be 75 KB/s.
 func (list *RemoteVMList) ListVMs(ctx context.Context) (fleet.Inventory, error) {
 	bounded, cancel := context.WithTimeout(ctx, list.Timeout)
 	defer cancel()
-	response, err := list.client.ListVMs(bounded, connect.NewRequest(&platformv1.ListVMsRequest{}))
+	response, err := list.client.ListVMs(bounded, connect.NewRequest(&platformv1.ListVMsRequest{KnownRevision: list.newest().Revision}))
 	if err != nil {
 		list.count("failed")
 		return fleet.Inventory{}, errors.Wrap(ErrUnavailable, err.Error())
 	}
+	if response.Msg.GetUnchanged() {
+		list.count("unchanged")
+		return list.newest(), nil
+	}
 	list.count("read")
-	return inventoryFrom(response.Msg), nil
+	reading := inventoryFrom(response.Msg)
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	list.last = reading
+	return reading, nil
+}
+
+func (list *RemoteVMList) newest() fleet.Inventory {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	return list.last
 }
 
 func (list *RemoteVMList) count(outcome string) {
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -56,9 +56,9 @@
 
 // ListVMs returns the lagging list.
 func (handler vmListHandler) ListVMs(
-	context.Context, *connect.Request[platformv1.ListVMsRequest],
+	_ context.Context, request *connect.Request[platformv1.ListVMsRequest],
 ) (*connect.Response[platformv1.ListVMsResponse], error) {
-	response, err := handler.platform.listVMs()
+	response, err := handler.platform.listVMs(request.Msg.GetKnownRevision())
 	return answer(response, err)
 }
 
--- a/internal/standin/platform/vmlist.go
+++ b/internal/standin/platform/vmlist.go
@@ -41,7 +41,7 @@
 	platform.listDown = down
 }
 
-func (platform *Platform) listVMs() (*platformv1.ListVMsResponse, error) {
+func (platform *Platform) listVMs(known int64) (*platformv1.ListVMsResponse, error) {
 	platform.mu.Lock()
 	defer platform.mu.Unlock()
 	platform.calls.ListVMs++
@@ -51,6 +51,9 @@
 	}
 	shown := time.Now().Add(-platform.lag)
 	for _, state := range slices.Backward(platform.listings) {
+		if !state.since.After(shown) && state.revision == known {
+			return &platformv1.ListVMsResponse{Revision: known, Unchanged: true}, nil
+		}
 		if !state.since.After(shown) {
 			return &platformv1.ListVMsResponse{Vms: state.vms, Revision: state.revision}, nil
 		}
