--- a/internal/bench/simulation.go
+++ b/internal/bench/simulation.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	startDelayMin   = 50 * time.Millisecond
-	startDelayMax   = 450 * time.Millisecond
-	stopDelayMin    = 100 * time.Millisecond
-	stopDelayMax    = 900 * time.Millisecond
+	shortestStart   = 50 * time.Millisecond
+	longestStart    = 450 * time.Millisecond
+	shortestStop    = 100 * time.Millisecond
+	longestStop     = 900 * time.Millisecond
 	restoreTime     = 2 * time.Second
 	tickEvery       = 5 * time.Second
 	usageEvery      = 30 * time.Second
--- a/internal/bench/task.go
+++ b/internal/bench/task.go
@@ -57,7 +57,7 @@
 		task.saved = 0
 	}
 	task.done = task.saved
-	task.plan(task.simulation.delay(startDelayMin, startDelayMax), task.started)
+	task.plan(task.simulation.delay(shortestStart, longestStart), task.started)
 }
 
 func (task *task) started() {
@@ -131,7 +131,7 @@
 	if step == scheduler.EvictStop {
 		task.checkpointing = false
 		task.generation++
-		task.plan(task.simulation.delay(stopDelayMin, stopDelayMax), func() { task.end(scheduler.EndStopped, nil) })
+		task.plan(task.simulation.delay(shortestStop, longestStop), func() { task.end(scheduler.EndStopped, nil) })
 		return
 	}
 	if task.checkpointing {
