--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -213,12 +213,13 @@
 	t.Parallel()
 	directory := t.TempDir()
 	_, err := Run(Settings{
-		Deployments: []string{ReedWorks}, Workloads: []string{WorkloadCalm}, Seeds: []uint64{1}, Output: directory,
+		Deployments: []string{ReedWorks}, Workloads: []string{WorkloadCallers}, Seeds: []uint64{1}, Output: directory,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"report.json", "report.md", "reed_works-calm-completion.svg", "reed_works-calm-callers.svg"} {
+	for _, name := range []string{"report.json", "report.md", "reed_works-callers-completion.svg",
+		"reed_works-callers-fragmentation.svg", "reed_works-callers-callers.svg"} {
 		if info, err := os.Stat(filepath.Join(directory, name)); err != nil || info.Size() == 0 {
 			t.Errorf("%s: %v", name, err)
 		}
--- a/internal/bench/plots.go
+++ b/internal/bench/plots.go
@@ -20,7 +20,8 @@
 	barWidth   = 18 * vg.Millimeter / 2
 )
 
-// plot writes three plots for the first seed of each deployment and workload.
+// plot writes plots for the first seed of each deployment and workload. Small and large callers are compared only
+// in WorkloadCallers, since other workloads have no large callers.
 func (report Report) plot(directory string) error {
 	groups := map[string][]Result{}
 	var names []string
@@ -37,6 +38,9 @@
 		for kind, draw := range map[string]func([]Result) (*plot.Plot, error){
 			"completion": plotCompletion, "fragmentation": plotFragmentation, "callers": plotCallers,
 		} {
+			if kind == "callers" && groups[name][0].Workload != WorkloadCallers {
+				continue
+			}
 			drawn, err := draw(groups[name])
 			if err != nil {
 				return errors.Wrapf(err, "plot %s of %s", kind, name)
