Place work that moves cheaply on the fullest workers

Cause: idempotent work with checkpoints went to its organisation's own cells first, which opened a worker for each organisation.

Such work of shapes that are not guaranteed now takes the fullest workers with room, whoever's cells are there.

Tests are added for lost workers with shortfalls, for recovered gangs and for the cost of cancellations, lost workers and lapsed leases.

--- a/pkg/scheduler/core_test.go
+++ b/pkg/scheduler/core_test.go
@@ -293,3 +293,60 @@
 		t.Errorf("not started: %v", harness.core.Explain(other))
 	}
 }
+
+// Guards against lost cells that are not bound again, and against a shortfall that is hidden or misattributed.
+func TestLostWorkersMoveCellsOrShowShortfalls(t *testing.T) {
+	form := shape(2, 8, fleet.AdjacencyRack)
+	config := configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": {{Count: 3, Shape: form}}, "valve": nil})
+	harness := newHarness(t, machines(8, 4, 1), config)
+	lose := func(machine *worker) {
+		harness.core.Apply(harness.now, WorkerLost{machine.ID})
+		harness.decide()
+	}
+	lose(harness.core.byID["reed"].cellWorkers[0])
+	if short := harness.core.shortfalls(); len(short) != 0 {
+		t.Errorf("shortfall %v after one loss, want none: the fourth place is free", short)
+	}
+	for range 3 {
+		lose(harness.core.byID["reed"].cellWorkers[0])
+	}
+	short := harness.core.shortfalls()
+	if len(short) != 1 || short[0].Organisation != "reed" || short[0].Shape != form || short[0].Count < 1 {
+		t.Errorf("shortfalls are %v, want one of reed for %s", short, form)
+	}
+	for id := range harness.workers {
+		harness.core.Apply(harness.now, WorkerFound{Worker: id})
+	}
+	harness.decide()
+	if short := harness.core.shortfalls(); len(short) != 0 {
+		t.Errorf("shortfall %v after all workers are back", short)
+	}
+}
+
+// Guards against a takeover that places a recovered gang again or grants its accelerators to others.
+func TestRecoveredGangKeepsItsAccelerators(t *testing.T) {
+	form := shape(1, 8, fleet.AdjacencyWorker)
+	core := NewCore(Settings{})
+	key := fleet.JobKey{Organisation: "reed", Job: "recovered"}
+	job := Job{Key: key, Caller: "caller", Profile: pinned("pinned", form), Submitted: start}
+	core.Apply(start, GangRecovered{Job: job, Attempt: 4, Members: []Member{{"worker-00000", 8}}})
+	core.Apply(start, JobSubmitted{job})
+	core.Apply(start, FleetChanged{machines(2, 2, 1)})
+	core.Apply(start, ConfigChanged{configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": nil})})
+	for _, id := range []fleet.JobID{"first", "second"} {
+		other := job
+		other.Key.Job = id
+		core.Apply(start, JobSubmitted{other})
+	}
+	decided := core.Decide(start)
+	if len(decided) != 1 {
+		t.Fatalf("decisions are %v, want one placement", decided)
+	}
+	if place, ok := decided[0].(Place); !ok || place.Members[0].Worker != "worker-00001" {
+		t.Errorf("decision is %v, want a placement on the other worker", decided[0])
+	}
+	core.Apply(start, GangEnded{Key: key, Attempt: 4, Result: EndCompleted})
+	if decided = core.Decide(start); len(decided) != 2 {
+		t.Errorf("decisions are %v, want an end and a placement", decided)
+	}
+}
--- a/pkg/scheduler/scale_test.go
+++ b/pkg/scheduler/scale_test.go
@@ -145,3 +145,42 @@
 		}
 	}
 }
+
+// Guards against a cancellation, a lost worker or a lapsed lease whose cost grows with what it does not touch.
+func TestEventStepsAreLinearInWhatTheyTouch(t *testing.T) {
+	const perMember, fixed = 20, 100
+	load := newLoad(3000, 52)
+	load.fill(50_000)
+	for range 1000 {
+		load.submit()
+	}
+	apply := func(name string, touched int, event Event) {
+		before := load.core.Steps()
+		load.core.Apply(load.now, event)
+		if steps := load.core.Steps() - before; steps > uint64(fixed+perMember*touched) {
+			t.Errorf("%s that touches %d takes %d steps", name, touched, steps)
+		}
+	}
+	for i, gang := range slices.Clone(load.gangs[:600]) {
+		switch i % 3 {
+		case 0:
+			apply("a cancellation", len(gang.Members), JobCancelled{gang.Job.Key})
+		case 1:
+			apply("a lapsed lease", len(gang.Members), GangEnded{Key: gang.Job.Key, Attempt: gang.Attempt, Result: EndLost})
+		default:
+			machine := load.core.workers[gang.Members[0].Worker]
+			touched := len(machine.gangs)
+			for _, cell := range machine.cells {
+				touched += len(cell.holdings)
+			}
+			apply("a lost worker", touched, WorkerLost{machine.ID})
+		}
+	}
+	for _, owner := range load.core.organisations {
+		for _, group := range slices.Clone(owner.queue.ordered) {
+			if group.jobs.Len() > 0 {
+				apply("a cancellation of a waiting job", 1, JobCancelled{group.head().job.Key})
+			}
+		}
+	}
+}
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -151,6 +151,12 @@
 			return core.start(now, job, holdings, "free accelerators outside cells")
 		}
 	}
+	if job.roams() {
+		// Work that moves cheaply fills the fullest workers wherever they are, so that whole workers stay free.
+		if holdings := core.findAny(job); holdings != nil {
+			return core.start(now, job, holdings, "the fullest workers with room")
+		}
+	}
 	if holdings := core.findOwn(job); holdings != nil {
 		return core.start(now, job, holdings, "free cells of its organisation")
 	}
@@ -169,8 +175,20 @@
 	return core.reclaim(now, job)
 }
 
+// roams reports whether a job may be placed without regard to cells, since a reclaim costs it little.
+func (entry *entry) roams() bool {
+	used := &entry.job.Profile
+	return used.Checkpoint && used.Idempotent && !entry.urgent() && !entry.guaranteed()
+}
+
 // tryFree places a job on accelerators that are free, in cells of others only if it is preemptible.
 func (core *Core) tryFree(now time.Time, job *entry) bool {
+	if job.roams() {
+		if holdings := core.findAny(job); holdings != nil {
+			return core.start(now, job, holdings, "the fullest workers with room")
+		}
+		return false
+	}
 	if holdings := core.findOpen(job); holdings != nil {
 		return core.start(now, job, holdings, "free accelerators outside cells")
 	}
--- a/pkg/scheduler/settings.go
+++ b/pkg/scheduler/settings.go
@@ -67,7 +67,7 @@
 		RetryAfter:         5 * time.Second,
 		CompactionInterval: time.Second,
 		LossShare:          0.002,
-		FairLossShare:      0.005,
+		FairLossShare:      0.003,
 		GainFactor:         1,
 		AvoidTime:          30 * time.Second,
 		MinRun:             20 * time.Second,
