--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -65,11 +65,15 @@
 	return list
 }
 
+func hashOfToken(token string) string {
+	hash := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(hash[:])
+}
+
 // startEntry starts the callers' server of one entry process on loopback and returns its address.
 func startEntry(b *testing.B, list []fleet.Target) string {
-	hash := sha256.Sum256([]byte(benchToken))
 	configs := fixedConfig{&profile.Config{Organisations: map[fleet.OrganisationID]*profile.Organisation{"reed": {
-		ID: "reed", TokenHashes: []string{hex.EncodeToString(hash[:])},
+		ID: "reed", TokenHashes: []string{hashOfToken(benchToken)},
 		Profiles: []profile.Profile{{Name: "read", Service: "tuning", Idempotent: true}},
 	}}}}
 	router := &target.Router{View: soleView{}, Configs: configs, Targets: func() []fleet.Target { return list }, DataCentre: "ngara"}
