Tell only certain ends while the store is down

Cause: with the store down and the processes partitioned, one side could tell an idempotent job cancelled while the other side ran it. The oracle of the stateful test also refused an end that the design prescribes: failed after failures on three different workers.

An unwritten end of an idempotent job is told only when it is completed; the others are pending until the store holds them. The oracle now counts the workers on which the job failed by the stand-ins' record. New tests bound the store writes of a job, the queue under a burst, the retention of records, and a planned stop.

--- a/internal/domain/cluster_test.go
+++ b/internal/domain/cluster_test.go
@@ -24,8 +24,13 @@
 	repeatable = "repeatable"
 	once       = "once"
 	saving     = "saving"
+	// bounded lets ten jobs wait.
+	bounded = "bounded"
 )
 
+// testRetention replaces the day for which ended jobs are kept.
+const testRetention = 2 * time.Hour
+
 // errorReporter is the part of testing.TB that a cluster needs.
 type errorReporter interface {
 	Helper()
@@ -75,6 +80,7 @@
 		"org": {ID: "org", Profiles: []profile.Profile{
 			{Name: repeatable, Shape: shape, Idempotent: true, Limits: limits},
 			{Name: once, Shape: shape, Limits: limits},
+			{Name: bounded, Shape: shape, Idempotent: true, Limits: profile.Limits{MaxWaiting: 10}},
 			{Name: saving, Shape: shape, Checkpoint: true, Limits: limits},
 		}},
 	}}
@@ -90,6 +96,7 @@
 	service.Configs = fixedConfig{testConfig()}
 	service.Inventory = func() fleet.Inventory { return cluster.fleet }
 	service.NewScheduler = newFIFO
+	service.Retention = testRetention
 	service.Dial = func(machine fleet.Worker) worker.Client {
 		return workerLink{worker: cluster.workers[machine.ID], process: launched}
 	}
@@ -196,7 +203,7 @@
 	cluster.t.Helper()
 	now := time.Now()
 	found := cluster.record.PartialGangs(gangBound, now)
-	found = append(found, cluster.record.DoubleRuns(func(run standin.Run) bool { return run.Profile == repeatable })...)
+	found = append(found, cluster.record.DoubleRuns(func(run standin.Run) bool { return run.Profile == repeatable || run.Profile == bounded })...)
 	found = append(found, cluster.record.Overcommitted(now)...)
 	found = append(found, cluster.record.Contradictions(cluster.told)...)
 	for _, violation := range found {
--- a/internal/domain/fakes_test.go
+++ b/internal/domain/fakes_test.go
@@ -44,6 +44,12 @@
 	store.changed = make(chan struct{})
 }
 
+func (store *memory) count() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return len(store.entries)
+}
+
 func (store *memory) loseAnswers(count int) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
@@ -289,6 +295,13 @@
 	}
 }
 
+// count returns the number of calls of a kind so far.
+func (process *process) count(kind string) int {
+	process.mutex.Lock()
+	defer process.mutex.Unlock()
+	return process.counts[kind]
+}
+
 // dieAfter has the process die right after it has made the given number of further calls of a kind.
 func (process *process) dieAfter(kind string, calls int) {
 	process.mutex.Lock()
--- a/internal/domain/front.go
+++ b/internal/domain/front.go
@@ -130,7 +130,7 @@
 	service.mutex.Lock()
 	ended, ok := service.ends[key]
 	service.mutex.Unlock()
-	if ok {
+	if ok && ended.certain() {
 		return ended, nil
 	}
 	if held, ok := service.copies.get(key); ok {
--- /dev/null
+++ b/internal/domain/limits_test.go
@@ -0,0 +1,91 @@
+package domain
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
+)
+
+// Guards the store's budget: a job costs a write for its creation, one for its attempt and one for its end.
+func TestStoreWritesOfOneJob(t *testing.T) {
+	for _, profile := range []string{repeatable, once, saving} {
+		t.Run(profile, func(t *testing.T) {
+			runCluster(t, 4, 2, func(t *testing.T, cluster *cluster) {
+				mustSubmit(t, cluster, "j", profile, standin.Input{RunTimeMS: 5_000})
+				cluster.await("j", completed, time.Minute)
+				writes := 0
+				for _, process := range cluster.processes {
+					writes += process.count("swap")
+				}
+				if writes != 3 {
+					t.Errorf("%d writes, want 3", writes)
+				}
+			})
+		})
+	}
+}
+
+// Guards against records that stay in the store after the retention time.
+func TestRecordsAreRemoved(t *testing.T) {
+	runCluster(t, 4, 2, func(t *testing.T, cluster *cluster) {
+		mustSubmit(t, cluster, "j", repeatable, standin.Input{RunTimeMS: 5_000})
+		cluster.await("j", completed, time.Minute)
+		time.Sleep(testRetention - time.Minute)
+		if count := cluster.store.count(); count != 1 {
+			t.Errorf("%d records before the retention time is over, want 1", count)
+		}
+		time.Sleep(3 * time.Minute)
+		if count := cluster.store.count(); count != 0 {
+			t.Errorf("%d records after the retention time, want 0", count)
+		}
+	})
+}
+
+// Guards the bound of the queues against a burst of submissions whose records are being created at once.
+func TestQueueBoundUnderBurst(t *testing.T) {
+	runCluster(t, 2, 2, func(t *testing.T, cluster *cluster) {
+		var group sync.WaitGroup
+		var mutex sync.Mutex
+		accepted := 0
+		for i := range 60 {
+			group.Go(func() {
+				err := cluster.submit(fmt.Sprintf("j%d", i), bounded, standin.Input{RunTimeMS: 600_000})
+				mutex.Lock()
+				defer mutex.Unlock()
+				if err == nil {
+					accepted++
+				} else if fault.Of(err).Kind != fault.QueueFull {
+					t.Errorf("refusal %v, want queue_full", err)
+				}
+			})
+		}
+		group.Wait()
+		// One gang of three fits on two workers, so at most one job has left the queue.
+		if accepted < 10 || accepted > 11 {
+			t.Errorf("%d jobs accepted, want 10 or 11", accepted)
+		}
+	})
+}
+
+// Guards a planned stop: the gangs that are starting start, and the next owner keeps them.
+func TestPlannedStopKeepsGangs(t *testing.T) {
+	runCluster(t, 6, 2, func(t *testing.T, cluster *cluster) {
+		for i := range 4 {
+			mustSubmit(t, cluster, fmt.Sprintf("j%d", i), once, standin.Input{RunTimeMS: 20_000})
+		}
+		stopped := cluster.processes[0]
+		stopped.service.Close()
+		stopped.kill()
+		for i := range 4 {
+			id := fmt.Sprintf("j%d", i)
+			cluster.await(id, completed, 2*time.Minute)
+			if got := cluster.attempts(id); got != 1 {
+				t.Errorf("job %s ran in %d attempts, want 1", id, got)
+			}
+		}
+	})
+}
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -77,6 +77,12 @@
 	return record.Profile.Idempotent || record.Begun == 0 || record.Begun == record.Checkpointed
 }
 
+// certain reports whether an end that is not in the store yet may be told. While the store is down, the owner on the
+// other side of a partition may run an idempotent job that this side ended otherwise than by completing it.
+func (record *Record) certain() bool {
+	return !record.Profile.Idempotent || record.outcome() == callerv1.Outcome_OUTCOME_COMPLETED
+}
+
 // outcome returns what a caller is told.
 func (record *Record) outcome() callerv1.Outcome {
 	if record.State != StateEnded {
--- a/internal/domain/stateful_test.go
+++ b/internal/domain/stateful_test.go
@@ -13,6 +13,7 @@
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
@@ -202,8 +203,15 @@
 // judge compares what was told with what may be told.
 func (oracle *oracle) judge() {
 	ran := make(map[fleet.JobID]bool)
+	failedOn := make(map[fleet.JobID]map[fleet.WorkerID]bool)
 	for _, run := range oracle.record.Runs() {
 		ran[run.Key.Job] = true
+		if run.State == workerv1.TaskState_TASK_STATE_FAILED {
+			if failedOn[run.Key.Job] == nil {
+				failedOn[run.Key.Job] = make(map[fleet.WorkerID]bool)
+			}
+			failedOn[run.Key.Job][run.Worker] = true
+		}
 	}
 	for _, id := range oracle.ids {
 		known := oracle.jobs[id]
@@ -217,7 +225,7 @@
 		if !known.accepted && outcome == callerv1.Outcome_OUTCOME_UNSPECIFIED {
 			continue
 		}
-		if !known.allows(outcome) {
+		if !known.allows(outcome, len(failedOn[fleet.JobID(id)])) {
 			oracle.t.Errorf("job %s %+v: outcome %s (%s) is not allowed", id, known.job, outcome, reason)
 		}
 	}
@@ -237,15 +245,16 @@
 	return "", false
 }
 
-// allows reports whether an outcome may be told once everything has been healed.
-func (known *oracleJob) allows(outcome callerv1.Outcome) bool {
+// allows reports whether an outcome may be told once everything has been healed. An idempotent job fails after it
+// has failed on three different workers.
+func (known *oracleJob) allows(outcome callerv1.Outcome, failedOn int) bool {
 	switch outcome {
 	case callerv1.Outcome_OUTCOME_COMPLETED:
 		return !known.job.Input.Fails
 	case callerv1.Outcome_OUTCOME_CANCELLED:
 		return known.cancelled
 	case callerv1.Outcome_OUTCOME_FAILED:
-		return known.job.Input.Fails || known.job.Profile != repeatable
+		return failedOn >= 3 || failedOn > 0 && known.job.Profile != repeatable
 	case callerv1.Outcome_OUTCOME_UNKNOWN:
 		return known.job.Profile != repeatable
 	default:
