Reserve workers for starving jobs

Cause: a gang could starve behind a stream of small work that cannot be preempted; the new test shows it without reservations.

A job that waited 10 minutes reserves the adjacent workers with the least work that must end by itself, at most 4 reservations and one for each organisation. Other work that cannot be preempted starts there only in its own cells; preemptible work fills them and is evicted when the loss is under a tenth of the gain. Run times play no part.

--- a/pkg/scheduler/compaction.go
+++ b/pkg/scheduler/compaction.go
@@ -31,7 +31,14 @@
 	core.nextCompaction = now.Add(core.settings.CompactionInterval)
 	bound := core.steps + compactionSteps
 	core.pass(now, func(now time.Time, job *entry) bool {
-		return core.steps < bound && core.displace(now, job)
+		if core.steps >= bound {
+			return false
+		}
+		if core.displaceReserved(now, job) || core.displace(now, job) {
+			return true
+		}
+		core.reserve(now, job)
+		return false
 	}, passCompaction)
 }
 
@@ -155,14 +162,18 @@
 // displaceCandidates lists workers that could hold members if gangs were moved.
 func (core *Core) displaceCandidates(now time.Time, job *entry, list victimsFunc) []candidate {
 	var candidates []candidate
-	for _, machine := range core.roomiest(job.shape()) {
+	machines := job.reservation
+	if machines == nil {
+		machines = core.roomiest(job.shape())
+	}
+	for _, machine := range machines {
 		core.steps++
 		if !machine.usable() || job.avoids(machine) {
 			continue
 		}
 		most := machine.capacity.quotient(job.unit)
 		if !job.preemptible {
-			most = machine.pinnedLimit(job.organisation.tenant).quotient(job.unit)
+			most = machine.pinnedLimit(job).quotient(job.unit)
 		}
 		if most = min(most, job.shape().Members); most == 0 {
 			continue
--- a/pkg/scheduler/compaction_test.go
+++ b/pkg/scheduler/compaction_test.go
@@ -51,3 +51,25 @@
 		t.Errorf("%d evictions lose an hour each for a job that waited a minute, want 0", harness.evicts)
 	}
 }
+
+// Guards against a large job that starves behind a stream of small work that cannot be preempted.
+func TestStarvingJobGetsAReservation(t *testing.T) {
+	harness := newHarness(t, machines(4, 4, 1), configure(map[fleet.OrganisationID][]profile.Guarantee{"reed": nil, "valve": nil}))
+	small := pinned("small", shape(1, 4, fleet.AdjacencyWorker))
+	for range 8 {
+		harness.submit("valve", "caller", small, time.Minute)
+		harness.decide()
+		harness.advance(7 * time.Second)
+	}
+	large := harness.submit("reed", "caller", pinned("large", shape(2, 8, fleet.AdjacencyRack)), time.Minute)
+	for range 170 {
+		if _, ok := harness.first[large]; ok {
+			return
+		}
+		harness.submit("valve", "caller", small, time.Minute)
+		harness.submit("valve", "caller", small, time.Minute)
+		harness.decide()
+		harness.advance(7 * time.Second)
+	}
+	t.Errorf("not started after 20 minutes of small jobs of a minute each: %v", harness.core.Explain(large))
+}
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -33,9 +33,11 @@
 	// repack is set when a repacking of all cells may reduce the shortfall.
 	repack bool
 
-	claims   []*entry
-	evicting []*entry
-	limits   limitHeap
+	claims []*entry
+	// reservations holds the waiting jobs with a reservation.
+	reservations []*entry
+	evicting     []*entry
+	limits       limitHeap
 	// recheck is set when waiting jobs may have become infeasible.
 	recheck bool
 	// feasible holds answers that stay true until recheck is set.
@@ -127,6 +129,7 @@
 	core.escalate(now)
 	core.checkFeasibility()
 	core.settleClaims(now)
+	core.reviewReservations()
 	if core.ready() {
 		core.schedule(now)
 	}
--- a/pkg/scheduler/entry.go
+++ b/pkg/scheduler/entry.go
@@ -77,6 +77,8 @@
 	// failedOn holds the workers on which attempts failed.
 	failedOn []fleet.WorkerID
 	failures int
+	// reservation holds the workers that are reserved for the job while it waits.
+	reservation []*worker
 	// lenient is set when the job found no place for some time without those workers.
 	lenient bool
 
--- a/pkg/scheduler/exact.go
+++ b/pkg/scheduler/exact.go
@@ -131,7 +131,7 @@
 		if !machine.usable() || job.avoids(machine) {
 			return false
 		}
-		limit := machine.pinnedLimit(job.organisation.tenant)
+		limit := machine.pinnedLimit(job)
 		if !job.preemptible && limit.quotient(job.unit) < holding.members {
 			return false
 		}
--- a/pkg/scheduler/explain.go
+++ b/pkg/scheduler/explain.go
@@ -80,6 +80,10 @@
 	}
 	lines = append(lines, fmt.Sprintf("its organisation has %d accelerators guaranteed and uses %d",
 		owner.guaranteed, owner.held))
+	if job.reservation != nil {
+		lines = append(lines, fmt.Sprintf("%d workers are reserved for it; only work that can be preempted starts there",
+			len(job.reservation)))
+	}
 	if len(job.failedOn) > 0 {
 		lines = append(lines, fmt.Sprintf("it failed on workers %v and avoids them", job.failedOn))
 	}
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -110,7 +110,7 @@
 	if entry.preemptible {
 		return machine.free.quotient(entry.unit)
 	}
-	return machine.pinnedRoom(entry.organisation.tenant).quotient(entry.unit)
+	return machine.pinnedRoom(entry).quotient(entry.unit)
 }
 
 // openSlots returns how many members may start on a worker now where no cell is.
--- a/pkg/scheduler/queue.go
+++ b/pkg/scheduler/queue.go
@@ -91,6 +91,7 @@
 
 // dequeue takes a waiting job out of its queue.
 func (core *Core) dequeue(job *entry) {
+	core.unreserve(job)
 	queue := &job.organisation.queue
 	home := job.group
 	heap.Remove(&home.jobs, job.position)
--- /dev/null
+++ b/pkg/scheduler/reservation.go
@@ -0,0 +1,133 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+// maxReservations bounds the reservations of the domain, so that most of it stays open to work that cannot be
+// preempted.
+const maxReservations = 4
+
+// reservationGain is the share of the gain of a start that evictions for a reservation may lose. At the whole gain
+// they lost up to 2.4% of the accelerator time in the policy bench, against a bound of 2%.
+const reservationGain = 0.1
+
+// reserve keeps further work that cannot be preempted off workers that could hold a starving job. Work that can
+// be preempted may use them meanwhile. No run time is predicted: the workers with the least work that must end
+// by itself are taken.
+func (core *Core) reserve(now time.Time, job *entry) {
+	starving := now.Sub(job.waiting) >= core.settings.StarvationTime
+	if !starving || job.reservation != nil || len(core.reservations) >= maxReservations {
+		return
+	}
+	for _, other := range core.reservations {
+		if other.organisation == job.organisation {
+			return
+		}
+	}
+	holdings := core.assemble(job.shape(), core.reservable(job))
+	if holdings == nil {
+		return
+	}
+	for _, holding := range holdings {
+		job.reservation = append(job.reservation, holding.worker)
+		holding.worker.reserved = job
+		core.refresh(holding.worker)
+	}
+	core.reservations = append(core.reservations, job)
+}
+
+// reservable lists the workers of the data centre with the most free accelerators that the job could use, at
+// the cost of the work on them that it cannot displace.
+func (core *Core) reservable(job *entry) []candidate {
+	var roomiest *zone
+	for _, zone := range core.zones {
+		if roomiest == nil || zone.totals[viewFree] > roomiest.totals[viewFree] {
+			roomiest = zone
+		}
+	}
+	if roomiest == nil {
+		return nil
+	}
+	var candidates []candidate
+	for _, machine := range roomiest.workers {
+		core.steps++
+		if machine == nil || !machine.usable() || machine.reserved != nil || job.avoids(machine) {
+			continue
+		}
+		room := machine.capacity
+		if !job.preemptible {
+			room = machine.emptyRoom(job.organisation.tenant)
+		}
+		if slots := room.quotient(job.unit); slots > 0 {
+			candidates = append(candidates, candidate{machine, slots, float64(machine.fixed(job))})
+		}
+	}
+	return candidates
+}
+
+// fixed counts the accelerators on a worker that a job cannot take by evicting work.
+func (worker *worker) fixed(job *entry) int64 {
+	fixed := int64(0)
+	for _, share := range worker.shares {
+		if share.tenant != job.organisation.tenant {
+			fixed += min(share.used[0], max(share.cell[0], share.pinned[0]))
+		} else {
+			fixed += share.pinned[0]
+		}
+	}
+	return fixed
+}
+
+// unreserve ends a job's reservation.
+func (core *Core) unreserve(job *entry) {
+	if job.reservation == nil {
+		return
+	}
+	for _, machine := range job.reservation {
+		machine.reserved = nil
+		core.refresh(machine)
+	}
+	job.reservation = nil
+	core.reservations = slices.DeleteFunc(core.reservations, func(other *entry) bool { return other == job })
+	core.version++
+}
+
+// reviewReservations ends the reservations on workers that get no new work any more.
+func (core *Core) reviewReservations() {
+	for _, job := range slices.Clone(core.reservations) {
+		if slices.ContainsFunc(job.reservation, func(machine *worker) bool { return !machine.usable() }) {
+			core.unreserve(job)
+		}
+	}
+}
+
+// startReserved places a job on the workers that are reserved for it, once they are free.
+func (core *Core) startReserved(now time.Time, job *entry) bool {
+	if job.reservation == nil {
+		return false
+	}
+	var candidates []candidate
+	for _, machine := range job.reservation {
+		if slots := job.freeSlots(machine); slots > 0 {
+			candidates = append(candidates, candidate{worker: machine, members: slots})
+		}
+	}
+	holdings := core.assemble(job.shape(), candidates)
+	return holdings != nil && core.start(now, job, holdings, "the workers reserved for it are free")
+}
+
+// displaceReserved evicts the work on the workers that are reserved for a job, when the gain exceeds the loss.
+func (core *Core) displaceReserved(now time.Time, job *entry) bool {
+	if job.reservation == nil {
+		return false
+	}
+	holdings, victims, loss := core.planDisplacement(now, job, core.movableOn)
+	if holdings == nil || loss > core.gain(now, job)*reservationGain {
+		return false
+	}
+	core.budget -= loss
+	core.claim(now, job, holdings, victims, "its reservation is free of work that must end by itself")
+	return true
+}
--- a/pkg/scheduler/schedule.go
+++ b/pkg/scheduler/schedule.go
@@ -183,6 +183,9 @@
 
 // tryFree places a job on accelerators that are free, in cells of others only if it is preemptible.
 func (core *Core) tryFree(now time.Time, job *entry) bool {
+	if core.startReserved(now, job) {
+		return true
+	}
 	if job.roams() {
 		if holdings := core.findAny(job); holdings != nil {
 			return core.start(now, job, holdings, "the fullest workers with room")
--- a/pkg/scheduler/settings.go
+++ b/pkg/scheduler/settings.go
@@ -43,6 +43,8 @@
 	MinRun time.Duration `json:"min_run"`
 	// AvoidTime is the time for which a waiting job keeps off the workers on which it failed.
 	AvoidTime time.Duration `json:"avoid_time"`
+	// StarvationTime is the time after which a waiting job gets a reservation.
+	StarvationTime time.Duration `json:"starvation_time"`
 	// History is the number of placements, reclaims and refusals that Dump holds, each.
 	History int `json:"history"`
 }
@@ -69,6 +71,7 @@
 		LossShare:          0.002,
 		FairLossShare:      0.003,
 		GainFactor:         1,
+		StarvationTime:     10 * time.Minute,
 		AvoidTime:          30 * time.Second,
 		MinRun:             20 * time.Second,
 		History:            64,
@@ -94,6 +97,7 @@
 	setDefault(&settings.GainFactor, defaults.GainFactor)
 	setDefault(&settings.MinRun, defaults.MinRun)
 	setDefault(&settings.AvoidTime, defaults.AvoidTime)
+	setDefault(&settings.StarvationTime, defaults.StarvationTime)
 	setDefault(&settings.History, defaults.History)
 	if settings.Levels == nil {
 		settings.Levels = defaults.Levels
--- a/pkg/scheduler/worker.go
+++ b/pkg/scheduler/worker.go
@@ -34,6 +34,8 @@
 	shares  []share
 	gangs   []*entry
 	cells   []*cell
+	// reserved is the starving job for which work that cannot be preempted is kept off; nil if there is none.
+	reserved *entry
 	// claimed is the part of the shares' use that waits for evicted gangs to end.
 	claimed resources
 	// ending is what evicted gangs still hold.
@@ -101,16 +103,22 @@
 	worker.free = free
 	worker.bindable = uncovered
 	worker.open = uncovered.atMost(free)
+	if worker.reserved != nil {
+		worker.open = resources{}
+	}
 }
 
-// pinnedRoom returns what work of a tenant that cannot be preempted may still take.
-func (worker *worker) pinnedRoom(tenant int) resources {
-	return worker.pinnedLimit(tenant).atMost(worker.free)
+// pinnedRoom returns what a job that cannot be preempted may still take.
+func (worker *worker) pinnedRoom(job *entry) resources {
+	return worker.pinnedLimit(job).atMost(worker.free)
 }
 
-// pinnedLimit returns what work of a tenant that cannot be preempted could still take if all other work ended.
-func (worker *worker) pinnedLimit(tenant int) resources {
-	own := worker.share(tenant)
+// pinnedLimit returns what a job that cannot be preempted could take if all work that can be ended.
+func (worker *worker) pinnedLimit(job *entry) resources {
+	own := worker.share(job.organisation.tenant)
+	if worker.reserved != nil && worker.reserved != job {
+		return own.cell.minus(own.pinned).positive()
+	}
 	return worker.bindable.positive().plus(own.cell.minus(own.pinned).positive())
 }
 
