Let renewals expire in the worker's clock

Cause: Reserve, Start and Stop carry an expiry, a renewal did not: one that the network delays could keep a task alive after its owner had taken the lease for ended, and a second attempt would run beside it. Change: Sync carries the expiry; an expired one renews nothing and still answers with the worker's state. Result: the new test keeps a task RUNNING past its lease without the check and sees it LAPSED with it.

--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -135,7 +135,9 @@
 		return nil, err
 	}
 	defer worker.mutex.Unlock()
-	worker.renew(now, request)
+	if !worker.expired(now, request.ExpiresWorkerMs) {
+		worker.renew(now, request)
+	}
 	worker.acknowledge(request.Acknowledge)
 	accelerators, _, _ := worker.free()
 	response := &workerv1.SyncResponse{
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -103,6 +103,8 @@
 
 func (link *link) sync() {
 	request := link.nextRequest()
+	// A renewal that the network delays would otherwise keep a lease alive that this process takes for ended.
+	request.ExpiresWorkerMs, _ = link.expiry()
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(link.ctx, link.manager.Timing.CommandExpiry)
 	response, err := link.client.Sync(ctx, request)
