Do not compress the small messages between processes and workers

Cause: connect compresses every answer when the client accepts it; answers of some 100 bytes took more processor time to compress than to send. The client of workers also had a second copy of the HTTP/2 client. Change: clients of peers and workers accept no compression; one HTTP/2 client serves both.

--- a/internal/capacity/protocols.go
+++ b/internal/capacity/protocols.go
@@ -77,7 +77,7 @@
 		return Point{}, err
 	}
 	defer end()
-	stub := workerv1connect.NewWorkerServiceClient(client, url)
+	stub := workerv1connect.NewWorkerServiceClient(client, url, transport.Uncompressed())
 	request := &workerv1.SyncRequest{TtlMs: 3_600_000}
 	for i := range leases {
 		id := fmt.Sprintf("0123456789.%d.1.%d", i, i)
@@ -138,7 +138,7 @@
 		if err != nil {
 			return series, err
 		}
-		stub := peerv1connect.NewPeerServiceClient(client, url)
+		stub := peerv1connect.NewPeerServiceClient(client, url, transport.Uncompressed())
 		request := &peerv1.HeartbeatRequest{
 			VmId: "entry-101", Incarnation: 1 << 60, ConfigRevision: 1 << 20, Seat: 6, Ready: true, FreeSlots: free,
 			Address: "10.100.100.100:7001", DataCentre: "westlands",
--- a/internal/node/assemble.go
+++ b/internal/node/assemble.go
@@ -97,7 +97,7 @@
 	node.membership.Revision = node.config.Revision
 	node.membership.OnRevision = node.config.HeardRevision
 	node.membership.NewClient = func(address string) peerv1connect.PeerServiceClient {
-		return peerv1connect.NewPeerServiceClient(node.client, transport.BaseURL(address, node.tls))
+		return peerv1connect.NewPeerServiceClient(node.client, transport.BaseURL(address, node.tls), transport.Uncompressed())
 	}
 	node.membership.Logger = node.Logger.Named("peers")
 	node.membership.Metrics = node.Metrics
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -107,7 +107,7 @@
 // NewClients returns a maker of clients that share an HTTP client; scheme is http:// or https://.
 func NewClients(client *http.Client, scheme string) func(address string) peerv1connect.PeerServiceClient {
 	return func(address string) peerv1connect.PeerServiceClient {
-		return peerv1connect.NewPeerServiceClient(client, scheme+address)
+		return peerv1connect.NewPeerServiceClient(client, scheme+address, transport.Uncompressed())
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"connectrpc.com/connect"
 )
 
 const (
@@ -83,3 +85,9 @@
 		WriteByteTimeout:     PingIdle + PingTimeout,
 	}
 }
+
+// Uncompressed keeps the other side from compressing its answers. The messages between processes and with workers
+// have some 100 bytes, for which compression costs more processor time than the whole call.
+func Uncompressed() connect.ClientOption {
+	return connect.WithAcceptCompression("gzip", nil, nil)
+}
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -3,13 +3,10 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
-	"net/http"
-	"time"
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzalstall/quetzalstall/internal/transport"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1/workerv1connect"
 )
@@ -28,31 +25,10 @@
 // maxResponse bounds the size of one response in bytes.
 const maxResponse = 4 << 20
 
-// Silent connections are found by pings: one after idleBeforePing without a frame, lost after pingTimeout.
-const (
-	idleBeforePing = time.Second
-	pingTimeout    = 2 * time.Second
-	dialTimeout    = time.Second
-	idleClose      = 90 * time.Second
-)
-
-// NewHTTPClient returns a client that speaks HTTP/2 with pings, without TLS when settings is nil.
-func NewHTTPClient(settings *tls.Config) *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP2(settings != nil)
-	protocols.SetUnencryptedHTTP2(settings == nil)
-	return &http.Client{Transport: &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSClientConfig: settings,
-		Protocols:       protocols,
-		IdleConnTimeout: idleClose,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: idleBeforePing, PingTimeout: pingTimeout},
-	}}
-}
-
 // NewClient returns a Client for the worker at a base URL.
 func NewClient(client connect.HTTPClient, baseURL string) Client {
-	return remote{workerv1connect.NewWorkerServiceClient(client, baseURL, connect.WithReadMaxBytes(maxResponse))}
+	return remote{workerv1connect.NewWorkerServiceClient(client, baseURL,
+		connect.WithReadMaxBytes(maxResponse), transport.Uncompressed())}
 }
 
 // remote adapts the generated client.
--- a/internal/worker/client_test.go
+++ b/internal/worker/client_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
@@ -26,7 +27,7 @@
 	server.Config.Protocols = protocols
 	server.Start()
 	defer server.Close()
-	client := NewHTTPClient(nil)
+	client := transport.NewHTTPClient(nil)
 	defer client.CloseIdleConnections()
 	remote := NewClient(client, server.URL)
 	ctx := context.Background()
