--- a/internal/bench/simulation.go
+++ b/internal/bench/simulation.go
@@ -166,7 +166,7 @@
 	if earliest := simulation.now.Add(shortestWake); wake.Before(earliest) {
 		wake = earliest
 		if simulation.idleWakes++; simulation.idleWakes == maxIdleWakes {
-			simulation.record.violate(RuleProtocol, "NextWake lies in the past %d times in a row", maxIdleWakes)
+			simulation.record.violate(RuleProtocol, "NextWake is in the past %d times in a row", maxIdleWakes)
 		}
 	} else {
 		simulation.idleWakes = 0
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -55,9 +55,9 @@
 	// recovering holds the jobs whose attempt is not judged yet.
 	recovering map[fleet.JobKey]bool
 	// parked holds the jobs that wait for the store.
-	parked  map[fleet.JobKey]bool
-	strays  map[fleet.LeaseID]stray
-	foreign map[fleet.WorkerID]fleet.Accelerators
+	parked    map[fleet.JobKey]bool
+	unmatched map[fleet.LeaseID]unmatchedLease
+	foreign   map[fleet.WorkerID]fleet.Accelerators
 	// stale names the workers whose free accelerators the core is to be told of again, with the time of the refusal.
 	stale map[fleet.WorkerID]time.Time
 	// creating and creatingOf count the admitted jobs whose records are being created, by profile and organisation;
@@ -98,7 +98,7 @@
 		unsaved:    make(map[fleet.JobKey]bool),
 		recovering: make(map[fleet.JobKey]bool),
 		parked:     make(map[fleet.JobKey]bool),
-		strays:     make(map[fleet.LeaseID]stray),
+		unmatched:  make(map[fleet.LeaseID]unmatchedLease),
 		foreign:    make(map[fleet.WorkerID]fleet.Accelerators),
 		stale:      make(map[fleet.WorkerID]time.Time),
 		creating:   make(map[profileKey]int),
@@ -271,7 +271,7 @@
 	owner.refresh(now)
 	owner.settle(now)
 	owner.recoverAll(now)
-	owner.judgeStrays(now)
+	owner.resolveUnmatched(now)
 	owner.tellStale(now)
 	owner.probeStore(now)
 }
@@ -403,12 +403,12 @@
 		phases[known.phase.String()]++
 	}
 	return map[string]any{
-		"tag":           owner.tag,
-		"since":         owner.since,
-		"settled":       owner.settled,
-		"jobs_by_phase": phases,
-		"unsaved":       len(owner.unsaved),
-		"stray_leases":  len(owner.strays),
-		"scheduler":     owner.core.Dump(),
+		"tag":              owner.tag,
+		"since":            owner.since,
+		"settled":          owner.settled,
+		"jobs_by_phase":    phases,
+		"unsaved":          len(owner.unsaved),
+		"unmatched_leases": len(owner.unmatched),
+		"scheduler":        owner.core.Dump(),
 	}
 }
--- a/internal/domain/recover.go
+++ b/internal/domain/recover.go
@@ -47,7 +47,7 @@
 	owner.recover(job)
 }
 
-// release ends the renewals of a job's leases, and has them judged as strays.
+// release ends the renewals of a job's leases, and has them resolved as unmatched leases.
 func (owner *owner) release(job *job) {
 	owner.setPhase(job, phaseDone)
 	for _, member := range job.members {
@@ -56,7 +56,7 @@
 			continue
 		}
 		owner.manager.Watch(member, endsBy)
-		owner.addStray(member.Worker, member.Lease, job.record.Key())
+		owner.addUnmatched(member.Worker, member.Lease, job.record.Key())
 	}
 }
 
--- a/internal/domain/report.go
+++ b/internal/domain/report.go
@@ -12,8 +12,8 @@
 	"github.com/quetzalstall/quetzalstall/pkg/scheduler"
 )
 
-// stray is a lease that belongs to no attempt known here.
-type stray struct {
+// unmatchedLease is a lease that belongs to no attempt known here.
+type unmatchedLease struct {
 	worker fleet.WorkerID
 	key    fleet.JobKey
 	since  time.Time
@@ -67,7 +67,7 @@
 func (owner *owner) leaseChanged(lease worker.Lease, now time.Time) {
 	known := owner.jobs[lease.Key]
 	if known == nil || !known.hasMember(lease.ID) {
-		owner.addStray(lease.Worker, lease.ID, lease.Key)
+		owner.addUnmatched(lease.Worker, lease.ID, lease.Key)
 		return
 	}
 	if known.phase == phaseRunning && known.inCore {
@@ -117,91 +117,91 @@
 	}
 }
 
-func (owner *owner) addStray(id fleet.WorkerID, lease fleet.LeaseID, key fleet.JobKey) {
-	if _, ok := owner.strays[lease]; !ok {
-		owner.strays[lease] = stray{worker: id, key: key, since: time.Now()}
+func (owner *owner) addUnmatched(id fleet.WorkerID, lease fleet.LeaseID, key fleet.JobKey) {
+	if _, ok := owner.unmatched[lease]; !ok {
+		owner.unmatched[lease] = unmatchedLease{worker: id, key: key, since: time.Now()}
 	}
 }
 
-// judgeStrays deals with the strays that no command in flight explains any more.
-func (owner *owner) judgeStrays(now time.Time) {
-	for id, lost := range owner.strays {
+// resolveUnmatched deals with the unmatched leases that no command in flight explains any more.
+func (owner *owner) resolveUnmatched(now time.Time) {
+	for id, lost := range owner.unmatched {
 		if lost.busy || now.Sub(lost.since) < owner.service.Timing.Settling() {
 			continue
 		}
 		lease, ok := owner.manager.Lease(lost.worker, id)
 		if !ok {
-			delete(owner.strays, id)
+			delete(owner.unmatched, id)
 			continue
 		}
-		owner.judgeStray(lost, lease)
+		owner.resolveUnmatchedLease(lost, lease)
 	}
 }
 
-func (owner *owner) judgeStray(lost stray, lease worker.Lease) {
+func (owner *owner) resolveUnmatchedLease(lost unmatchedLease, lease worker.Lease) {
 	known := owner.jobs[lost.key]
 	if known == nil {
-		owner.judgeOrphan(lost, lease)
+		owner.resolveWithoutRecord(lost, lease)
 		return
 	}
 	attempt := fleet.Attempt(lease.Label.GetAttempt())
 	switch {
 	case known.hasMember(lease.ID):
-		delete(owner.strays, lease.ID)
+		delete(owner.unmatched, lease.ID)
 	case known.phase == phaseRecovering || known.phase == phaseEnding || known.saving:
 	case lease.Active() && attempt > known.record.Attempt:
-		delete(owner.strays, lease.ID)
+		delete(owner.unmatched, lease.ID)
 		owner.leaveCore(known)
 		owner.release(known)
 		delete(owner.parked, known.record.Key())
 		owner.recover(known)
 	case lease.Active():
-		owner.stopStray(lost, lease)
+		owner.stopUnmatched(lost, lease)
 	case !owner.unsaved[lost.key]:
 		owner.manager.Forget(lease.Worker, lease.ID)
-		delete(owner.strays, lease.ID)
+		delete(owner.unmatched, lease.ID)
 	}
 }
 
-// judgeOrphan deals with a lease whose job is not held here. Its record decides; without an answer it stays.
-func (owner *owner) judgeOrphan(lost stray, lease worker.Lease) {
+// resolveWithoutRecord deals with a lease whose job is not held here. Its record decides; without an answer it stays.
+func (owner *owner) resolveWithoutRecord(lost unmatchedLease, lease worker.Lease) {
 	if held, ok := owner.service.copies.get(lost.key); ok {
 		if held.record.State == StateEnded && held.record.Domain == owner.service.domain() {
-			owner.stopStray(lost, lease)
+			owner.stopUnmatched(lost, lease)
 			return
 		}
 		lost.since = time.Now()
-		owner.strays[lease.ID] = lost
+		owner.unmatched[lease.ID] = lost
 		return
 	}
 	lost.busy = true
-	owner.strays[lease.ID] = lost
+	owner.unmatched[lease.ID] = lost
 	owner.start(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, saveTimeout)
 		defer cancel()
 		_, _, err := owner.service.read(ctx, lost.key)
 		owner.post(func() {
 			if errors.Is(err, platform.ErrNotFound) {
-				owner.stopStray(lost, lease)
+				owner.stopUnmatched(lost, lease)
 				return
 			}
 			lost.busy, lost.since = false, time.Now()
-			owner.strays[lease.ID] = lost
+			owner.unmatched[lease.ID] = lost
 		})
 	})
 }
 
-// stopStray ends a lease that nothing accounts for and acknowledges its end.
-func (owner *owner) stopStray(lost stray, lease worker.Lease) {
+// stopUnmatched ends a lease that nothing accounts for and acknowledges its end.
+func (owner *owner) stopUnmatched(lost unmatchedLease, lease worker.Lease) {
 	if !lease.Active() {
 		owner.manager.Forget(lease.Worker, lease.ID)
-		delete(owner.strays, lease.ID)
+		delete(owner.unmatched, lease.ID)
 		return
 	}
 	lost.busy = true
-	owner.strays[lease.ID] = lost
-	owner.service.count("stray_leases_stopped", 1)
-	owner.logger.Warn("stray lease stopped", "job", lease.Key.Job, "organisation", lease.Key.Organisation,
+	owner.unmatched[lease.ID] = lost
+	owner.service.count("unmatched_leases_stopped", 1)
+	owner.logger.Warn("unmatched lease stopped", "job", lease.Key.Job, "organisation", lease.Key.Organisation,
 		"attempt", lease.Label.GetAttempt(), "worker", lease.Worker)
 	member := worker.Member{Worker: lease.Worker, Lease: lease.ID, Accelerators: lease.Accelerators}
 	owner.start(func(ctx context.Context) {
@@ -210,7 +210,7 @@
 		}
 		owner.post(func() {
 			owner.manager.Forget(lease.Worker, lease.ID)
-			delete(owner.strays, lease.ID)
+			delete(owner.unmatched, lease.ID)
 			owner.tellFree(lease.Worker)
 		})
 	})
--- a/internal/domain/save.go
+++ b/internal/domain/save.go
@@ -202,7 +202,7 @@
 	}
 }
 
-// dropRemoved forgets a job whose record no longer exists. Its leases are treated as strays.
+// dropRemoved forgets a job whose record no longer exists. Its leases are treated as unmatched.
 func (owner *owner) dropRemoved(job *job) {
 	owner.leaveCore(job)
 	owner.release(job)
--- a/internal/target/ledger.go
+++ b/internal/target/ledger.go
@@ -81,7 +81,7 @@
 	firstSent := time.UnixMilli(task.call.GetFirstSentUnixMs())
 	switch {
 	case firstSent.After(now.Add(clockSkew)):
-		problem := fault.New(fault.InvalidArgument, "lies more than %v ahead of the clock", clockSkew).WithField("first_sent_unix_ms")
+		problem := fault.New(fault.InvalidArgument, "is more than %v ahead of the clock", clockSkew).WithField("first_sent_unix_ms")
 		return nil, false, unproven(task.call, problem)
 	case now.Sub(firstSent) > historyTime:
 		return nil, false, unknown(task.call, fault.HistoryLost, "the request id is older than 10 minutes")
--- a/internal/worker/gang.go
+++ b/internal/worker/gang.go
@@ -221,7 +221,7 @@
 			response, err := client.Checkpoint(ctx, &workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
 			return response.GetWorkerMs(), err
 		})
-		manager.Hurry(member.Worker, time.Now().Add(grace))
+		manager.SyncFast(member.Worker, time.Now().Add(grace))
 		return err == nil
 	})
 }
@@ -268,7 +268,7 @@
 		if manager.stopOnce(ctx, member) {
 			return manager.readEnd(ctx, member, asked)
 		}
-		manager.wait(ctx, manager.Timing.HurrySync)
+		manager.wait(ctx, manager.Timing.FastSync)
 	}
 	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
 }
@@ -286,7 +286,7 @@
 
 // readEnd waits for the sync that follows a confirmed stop and returns how the lease ended.
 func (manager *Manager) readEnd(ctx context.Context, member Member, asked time.Time) workerv1.TaskState {
-	manager.Hurry(member.Worker, time.Now().Add(manager.Timing.SyncEvery))
+	manager.SyncFast(member.Worker, time.Now().Add(manager.Timing.SyncEvery))
 	deadline := time.Now().Add(manager.Timing.SyncEvery * time.Duration(manager.Timing.MissedSyncs))
 	for ctx.Err() == nil && time.Now().Before(deadline) {
 		lease, ok := manager.Lease(member.Worker, member.Lease)
@@ -296,7 +296,7 @@
 		if !ok && manager.SyncedSince(member.Worker, asked) {
 			break
 		}
-		manager.wait(ctx, manager.Timing.HurrySync/4)
+		manager.wait(ctx, manager.Timing.FastSync/4)
 	}
 	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
 }
--- a/internal/worker/link.go
+++ b/internal/worker/link.go
@@ -40,8 +40,8 @@
 	answered bool
 	lost     bool
 	// synced is when the last successful sync began.
-	synced     time.Time
-	hurryUntil time.Time
+	synced    time.Time
+	fastUntil time.Time
 }
 
 // hold is what this process knows of a lease that it keeps.
@@ -95,8 +95,8 @@
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
 	pause := link.manager.Timing.SyncEvery
-	if time.Now().Before(link.hurryUntil) {
-		pause = link.manager.Timing.HurrySync
+	if time.Now().Before(link.fastUntil) {
+		pause = link.manager.Timing.FastSync
 	}
 	return pause - time.Duration(rand.Int64N(int64(pause)/10+1))
 }
@@ -362,9 +362,9 @@
 	link.manager.removeIndex(lease)
 }
 
-func (link *link) hurry(until time.Time) {
+func (link *link) syncFast(until time.Time) {
 	link.mutex.Lock()
-	link.hurryUntil = later(link.hurryUntil, until)
+	link.fastUntil = later(link.fastUntil, until)
 	link.mutex.Unlock()
 	link.nudge()
 }
--- a/internal/worker/manager.go
+++ b/internal/worker/manager.go
@@ -17,8 +17,8 @@
 	// SyncEvery is the time between two syncs with a worker; a worker is lost after MissedSyncs failed ones.
 	SyncEvery   time.Duration
 	MissedSyncs int
-	// HurrySync replaces SyncEvery while the end of a task is awaited.
-	HurrySync time.Duration
+	// FastSync replaces SyncEvery while the end of a task is awaited.
+	FastSync time.Duration
 	// RenewEvery is the time between two renewals of a lease.
 	RenewEvery time.Duration
 	// TaskLease, Probation and Reservation are the lengths of the three kinds of lease.
@@ -36,7 +36,7 @@
 	return Timing{
 		SyncEvery:     time.Second,
 		MissedSyncs:   3,
-		HurrySync:     200 * time.Millisecond,
+		FastSync:      200 * time.Millisecond,
 		RenewEvery:    5 * time.Second,
 		TaskLease:     15 * time.Second,
 		Probation:     3 * time.Second,
@@ -262,10 +262,10 @@
 	}
 }
 
-// Hurry syncs with a worker at once and then often until a moment, because the end of a task is awaited.
-func (manager *Manager) Hurry(worker fleet.WorkerID, until time.Time) {
+// SyncFast syncs with a worker at once and then often until a moment, because the end of a task is awaited.
+func (manager *Manager) SyncFast(worker fleet.WorkerID, until time.Time) {
 	if found, ok := manager.link(worker); ok {
-		found.hurry(until)
+		found.syncFast(until)
 	}
 }
 
--- a/pkg/scheduler/core_test.go
+++ b/pkg/scheduler/core_test.go
@@ -18,7 +18,7 @@
 	tests := []struct {
 		name           string
 		checkpointTime time.Duration
-		stubborn       bool
+		ignoresStop    bool
 		members        int
 	}{
 		{"checkpoint in time", time.Second, false, 1},
@@ -40,9 +40,9 @@
 				harness.submit("valve", "caller", small, time.Hour)
 			}
 			harness.decide()
-			if test.stubborn {
+			if test.ignoresStop {
 				home := harness.core.byID["reed"].cellWorkers[0]
-				harness.stubborn[home.gangs[0].job.Key] = true
+				harness.ignoresStop[home.gangs[0].job.Key] = true
 			}
 			harness.advance(10 * time.Second)
 			urgent := harness.submit("reed", "caller", preemptible("urgent", form, profile.UrgencyUrgent), time.Minute)
--- a/pkg/scheduler/harness_test.go
+++ b/pkg/scheduler/harness_test.go
@@ -36,8 +36,8 @@
 	evicts  int
 	// checkpointTime is how long a checkpoint takes.
 	checkpointTime time.Duration
-	// stubborn names jobs that ignore stops.
-	stubborn map[fleet.JobKey]bool
+	// ignoresStop names jobs that ignore stops.
+	ignoresStop map[fleet.JobKey]bool
 	// broken names workers on which every task fails.
 	broken map[fleet.WorkerID]bool
 	// faulty names jobs that fail wherever they run.
@@ -53,7 +53,7 @@
 		gangs:   map[fleet.JobKey]*running{}, left: map[fleet.JobKey]time.Duration{},
 		first: map[fleet.JobKey]time.Time{}, ended: map[fleet.JobKey]Finish{},
 		endedAt:        map[fleet.JobKey]time.Time{},
-		checkpointTime: time.Second, stubborn: map[fleet.JobKey]bool{}, broken: map[fleet.WorkerID]bool{},
+		checkpointTime: time.Second, ignoresStop: map[fleet.JobKey]bool{}, broken: map[fleet.WorkerID]bool{},
 		faulty: map[fleet.JobKey]bool{}, quarantines: map[fleet.WorkerID]int{},
 	}
 	for _, worker := range workers {
@@ -123,7 +123,7 @@
 		gang.checkpointing = test.now.Add(test.checkpointTime)
 		return
 	}
-	if !test.stubborn[decision.Key] {
+	if !test.ignoresStop[decision.Key] {
 		gang.stopping = test.now.Add(500 * time.Millisecond)
 	}
 }
