Say what a newcomer could not see

Cause: following the operations page found an explanation that named free accelerators for a job that waits for its quota, kinds named twice in messages, an internal error where the owner was lost, empty reclaims in a preview, and a seat metric that was missing instead of -1. Change: texts and kinds; the seat gauge stands from the start; a preview without changes says so. Result: the tests of the touched packages pass; kinds are named once by a table test.

--- a/internal/caller/service.go
+++ b/internal/caller/service.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/types/known/structpb"
 
@@ -148,7 +149,7 @@
 // errorOf returns the connect error of a fault: code by the table, kind and field as a detail, time to come back
 // as a header.
 func errorOf(problem *fault.Error) *connect.Error {
-	failure := connect.NewError(fault.AnswerFor(problem.Kind).Code, problem)
+	failure := connect.NewError(fault.AnswerFor(problem.Kind).Code, errors.New(problem.Message()))
 	failure.Meta().Set(errorKindHeader, string(problem.Kind))
 	if problem.RetryAfter > 0 {
 		failure.Meta().Set(retryAfterHeader, seconds(problem.RetryAfter))
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -34,7 +34,7 @@
 			fmt.Fprintf(console.out, "%s: ok\n", path)
 		}
 		if failed > 0 {
-			return errors.Errorf("%d of %d files have problems", failed, len(args))
+			return errors.Errorf("files with problems: %d of %d", failed, len(args))
 		}
 		return nil
 	}
@@ -119,11 +119,14 @@
 	if err != nil {
 		return err
 	}
+	if len(preview.Changes) == 0 && len(preview.Problems) == 0 {
+		fmt.Fprintln(console.out, "no changes")
+	}
 	printLines(console, "change", preview.Changes)
 	printLines(console, "reclaim", preview.Reclaims)
 	printLines(console, "problem", preview.Problems)
 	if len(preview.Problems) > 0 {
-		return errors.Errorf("the edit has %d problems", len(preview.Problems))
+		return errors.Errorf("the edit would be refused; problems: %d", len(preview.Problems))
 	}
 	return nil
 }
--- a/internal/domain/front.go
+++ b/internal/domain/front.go
@@ -215,7 +215,7 @@
 	}
 	response, err := holder.Client.ExplainJob(ctx, connect.NewRequest(request))
 	if err != nil {
-		return nil, errors.Wrap(err, "owner")
+		return nil, fault.New(fault.OwnerUnavailable, "owner %s of domain %s did not answer", holder.VM.ID, domain).WithRetryAfter(ownerRetryAfter)
 	}
 	return response.Msg.Lines, nil
 }
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -86,7 +86,7 @@
 		return connect.NewResponse(message), nil
 	}
 	problem := fault.Of(err)
-	wrapped := connect.NewError(fault.AnswerFor(problem.Kind).Code, problem)
+	wrapped := connect.NewError(fault.AnswerFor(problem.Kind).Code, errors.New(problem.Message()))
 	wrapped.Meta().Set(errorKindHeader, string(problem.Kind))
 	return nil, wrapped
 }
--- a/internal/node/packing.go
+++ b/internal/node/packing.go
@@ -64,6 +64,9 @@
 	after, _ := scheduler.Pack(to, inventory.Workers)
 	var moves []string
 	for _, cell := range after.Cells {
+		if len(cell.Members) == 0 {
+			continue
+		}
 		text := describeCell(cell)
 		if bound[text] > 0 {
 			bound[text]--
--- a/internal/peer/seats.go
+++ b/internal/peer/seats.go
@@ -109,6 +109,8 @@
 
 // Run follows the seats in the store and takes one when the rules allow it, until ctx ends or Close.
 func (seats *Seats) Run(ctx context.Context) error {
+	// The gauge stands from the start, so that an alarm on a process without a seat sees it.
+	metrics.GetOrRegisterGauge("peer.seat", seats.Metrics).Update(int64(NoSeat))
 	ctx, end := seats.life.Begin(ctx)
 	defer end()
 	var group sync.WaitGroup
--- a/internal/target/ledger.go
+++ b/internal/target/ledger.go
@@ -186,7 +186,7 @@
 	if known, ok := ledger.told[key]; ok {
 		return &callerv1.StatusResponse{Outcome: known.outcome, Reason: known.reason}
 	}
-	return unknownStatus("the home of this request id does not know it")
+	return unknownStatus("the home of this request id has not heard of it; outcomes arrive there within a second")
 }
 
 func unknownStatus(reason string) *callerv1.StatusResponse {
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -145,6 +145,18 @@
 	return fmt.Sprintf("%s: %s", fault.Kind, fault.Reason)
 }
 
+// Message returns the text of the error for an answer of its connect code, which names the kind only if the code
+// does not.
+func (fault *Error) Message() string {
+	if AnswerFor(fault.Kind).Code.String() != string(fault.Kind) {
+		return fault.Error()
+	}
+	if fault.Field != "" {
+		return fault.Field + ": " + fault.Reason
+	}
+	return fault.Reason
+}
+
 // WithField returns a copy that names a field.
 func (fault *Error) WithField(field string) *Error {
 	clone := *fault
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -55,3 +55,20 @@
 		t.Errorf("docs/ERRORS.md has %d rows, want %d", rows, len(Kinds()))
 	}
 }
+
+// Guards against an answer that names its kind twice, or not at all.
+func TestMessageNamesTheKindOnce(t *testing.T) {
+	tests := []struct {
+		fault *Error
+		want  string
+	}{
+		{New(NotFound, "no job x"), "no job x"},
+		{New(InvalidArgument, "is missing").WithField("job_id"), "job_id: is missing"},
+		{New(QueueFull, "bound of 3"), "queue_full: bound of 3"},
+	}
+	for _, test := range tests {
+		if got := test.fault.Message(); got != test.want {
+			t.Errorf("Message() = %q, want %q", got, test.want)
+		}
+	}
+}
--- a/pkg/scheduler/explain.go
+++ b/pkg/scheduler/explain.go
@@ -61,10 +61,11 @@
 	case !core.fleetKnown:
 		return append(lines, "the fleet is not known yet")
 	case !owner.quotaLeft(job.total):
-		lines = append(lines, fmt.Sprintf("quota: %d of %d accelerators are in use", owner.held, owner.config.Quota))
+		return append(lines, fmt.Sprintf("it waits for the quota: it needs %d accelerators, and its organisation uses %d of %d",
+			job.total, owner.held, owner.config.Quota))
 	}
 	if ahead := core.ahead(job); ahead > 0 {
-		lines = append(lines, fmt.Sprintf("%d jobs of its organisation go first", ahead))
+		lines = append(lines, fmt.Sprintf("jobs of its organisation that go first: %d", ahead))
 	}
 	free, open := int64(0), int64(0)
 	for _, zone := range core.zones {
@@ -73,7 +74,7 @@
 	}
 	switch {
 	case job.preemptible:
-		lines = append(lines, fmt.Sprintf("%d accelerators are free, but not in this shape", free))
+		lines = append(lines, fmt.Sprintf("%d accelerators are free; it needs %s", free, job.job.Profile.Shape))
 	default:
 		lines = append(lines, fmt.Sprintf("%d accelerators are free, %d of them outside cells; "+
 			"the job cannot be preempted, so it may not use others' cells", free, open))
