Test a job on a worker with mutual TLS

Cause: mutual TLS was tested on a bare connection only, and two places chose between serving with and without it. Change: a stand-in of a certificate authority for tests, workers of the stand-ins with TLS, one transport.Serve. Result: a process with keys runs a gang of two on a worker that requires them.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	"github.com/quetzalstall/quetzalstall/internal/settings"
 	"github.com/quetzalstall/quetzalstall/internal/target"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
 
@@ -144,21 +145,8 @@
 	parts.Go(func() error { return node.membership.Run(ctx) })
 	parts.Go(func() error { return node.jobs.Run(ctx) })
 	parts.Go(func() error { return node.calls.Run(ctx) })
-	parts.Go(func() error { return serve(node.callerServer, node.CallerListener, nil) })
-	parts.Go(func() error { return serve(node.peerServer, node.PeerListener, node.tls) })
-}
-
-func serve(server *http.Server, listener net.Listener, config *tls.Config) error {
-	var err error
-	if config == nil {
-		err = server.Serve(listener)
-	} else {
-		err = server.ServeTLS(listener, "", "")
-	}
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrapf(err, "serve %s", listener.Addr())
+	parts.Go(func() error { return transport.Serve(node.callerServer, node.CallerListener) })
+	parts.Go(func() error { return transport.Serve(node.peerServer, node.PeerListener) })
 }
 
 // drain is the planned stop: unready, a time for the load balancer, nothing new, all in flight finished, ownership
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -13,8 +13,11 @@
 	"connectrpc.com/connect"
 
 	"github.com/quetzalstall/quetzalstall/internal/settings"
+	"github.com/quetzalstall/quetzalstall/internal/standin/authority"
 	"github.com/quetzalstall/quetzalstall/internal/standin/deployment"
 	"github.com/quetzalstall/quetzalstall/internal/standin/target"
+	"github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1/callerv1connect"
 	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
@@ -30,7 +33,10 @@
 )
 
 const document = `{"organisation": "org", "max_waiting": 10, "token_sha256": ["` + tokenHash + `"],
- "profiles": [{"name": "ask", "service": "desk", "idempotent": true, "urgency": "normal",
+ "profiles": [
+  {"name": "train", "shape": {"members": 2, "accelerators": 2, "cores": 1, "memory_bytes": 1, "adjacency": "worker"},
+   "idempotent": true, "urgency": "normal", "limits": {"max_waiting": 10, "max_body_bytes": 1024}},
+  {"name": "ask", "service": "desk", "idempotent": true, "urgency": "normal",
    "limits": {"max_waiting": 10, "max_run_time": "4s", "max_body_bytes": 1024}}]}`
 
 // running is one process over small stand-ins.
@@ -53,8 +59,8 @@
 	return listener
 }
 
-// startNode starts one process with two targets and applies the document.
-func startNode(t *testing.T, balancerDelay time.Duration, operatorTokenHash string) *running {
+// startNode starts one process with two targets and one worker. With keys, the process and the worker use mutual TLS.
+func startNode(t *testing.T, balancerDelay time.Duration, operatorTokenHash string, keys authority.Files) *running {
 	t.Helper()
 	callers, peers := listen(t), listen(t)
 	inventory := fleet.Inventory{Entries: []fleet.EntryVM{{ID: "entry-1", Address: peers.Addr().String(), Region: "r", DataCentre: "d"}}}
@@ -63,7 +69,15 @@
 			ID: fleet.TargetID(fmt.Sprintf("target-%d", i)), Service: "desk", DataCentre: "d", Slots: 8, Connections: 60,
 		})
 	}
+	inventory.Workers = []fleet.Worker{{ID: "worker-1", Region: "r", DataCentre: "d", Rack: "1", Cores: 8, Memory: 1 << 30, Accelerators: 8}}
 	standins := deployment.New(inventory)
+	if keys.Key != "" {
+		workerKeys, err := transport.NewKeys(keys.Certificate, keys.Key, keys.Authority)
+		if err != nil {
+			t.Fatal(err)
+		}
+		standins.WorkerTLS = workerKeys.Config()
+	}
 	if err := standins.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -73,6 +87,7 @@
 	chosen.Seats = 1
 	chosen.BalancerDelay = profile.Duration(balancerDelay)
 	chosen.OperatorTokenHash = operatorTokenHash
+	chosen.TLS = settings.TLS{CertificateFile: keys.Certificate, KeyFile: keys.Key, AuthorityFile: keys.Authority}
 	started := &running{node: New(chosen), standins: standins, ended: make(chan error, 1), url: "http://" + callers.Addr().String()}
 	started.node.CallerListener, started.node.PeerListener = callers, peers
 	ctx, stop := context.WithCancel(context.Background())
@@ -134,7 +149,7 @@
 
 // Guards against a planned stop that cuts off a request in flight, or that leaves the load balancer no time.
 func TestPlannedStopFinishesRequests(t *testing.T) {
-	started := startNode(t, time.Second, "")
+	started := startNode(t, time.Second, "", authority.Files{})
 	if started.readiness() == http.StatusOK {
 		t.Error("the process is ready without a configuration")
 	}
@@ -170,7 +185,7 @@
 
 // Guards against a dump that shows a secret, or does not marshal.
 func TestDumpHoldsNoSecrets(t *testing.T) {
-	started := startNode(t, 0, tokenHash)
+	started := startNode(t, 0, tokenHash, authority.Files{})
 	started.apply(t)
 	eventually(t, "the process is ready", func() bool { return started.readiness() == http.StatusOK })
 	text, err := json.Marshal(started.node.Dump())
@@ -184,6 +199,36 @@
 	}
 }
 
+// Guards against commands to workers that go out without the keys, or that a worker with keys refuses.
+func TestJobRunsOnWorkerWithMutualTLS(t *testing.T) {
+	issuer, err := authority.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys, err := issuer.Issue(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := startNode(t, 0, "", keys)
+	started.apply(t)
+	input := worker.Input{RunTimeMS: 100}
+	eventually(t, "the job is accepted", func() bool {
+		request := connect.NewRequest(&callerv1.SubmitRequest{JobId: "j", Profile: "train", Caller: "c", Input: input.Encode()})
+		request.Header().Set("Authorization", "Bearer "+token)
+		_, err := started.calls.Submit(context.Background(), request)
+		return err == nil
+	})
+	eventually(t, "the job completes", func() bool {
+		request := connect.NewRequest(&callerv1.StatusRequest{JobId: "j"})
+		request.Header().Set("Authorization", "Bearer "+token)
+		response, err := started.calls.Status(context.Background(), request)
+		return err == nil && response.Msg.Outcome == callerv1.Outcome_OUTCOME_COMPLETED
+	})
+	if runs := started.standins.WorkerRecord.Runs(); len(runs) != 2 {
+		t.Errorf("%d members ran, want 2", len(runs))
+	}
+}
+
 // Guards against an operators' API that serves strangers when a token is set.
 func TestOperatorsNeedTheToken(t *testing.T) {
 	reached := false
--- a/internal/standin/deployment/deployment.go
+++ b/internal/standin/deployment/deployment.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -31,6 +32,8 @@
 	Fleet fleet.Inventory
 	// FixedPorts keeps the addresses of Fleet; otherwise the system chooses the ports.
 	FixedPorts bool
+	// WorkerTLS makes the workers serve with mutual TLS; nil serves without.
+	WorkerTLS *tls.Config
 	// PlatformAddress is that of the store and the VM list; it is set by Start unless FixedPorts is true.
 	PlatformAddress string
 
@@ -84,14 +87,14 @@
 	if standins.FixedPorts {
 		address = standins.PlatformAddress
 	}
-	address, err := standins.serve(address, standins.Platform.Handler())
+	address, err := standins.serve(address, standins.Platform.Handler(), nil)
 	standins.PlatformAddress = address
 	return err
 }
 
 func (standins *Standins) startWorker(machine *fleet.Worker) error {
 	standin := worker.New(*machine, standins.WorkerRecord, worker.Settings{})
-	address, err := standins.serve(standins.address(machine.Address), standin.Handler())
+	address, err := standins.serve(standins.address(machine.Address), standin.Handler(), standins.WorkerTLS)
 	machine.Address = address
 	standins.Workers[machine.ID] = standin
 	return err
@@ -125,18 +128,15 @@
 }
 
 // serve serves handler and returns the address in use.
-func (standins *Standins) serve(address string, handler http.Handler) (string, error) {
+func (standins *Standins) serve(address string, handler http.Handler, config *tls.Config) (string, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
-	server := transport.NewServer(handler, nil)
+	server := transport.NewServer(handler, config)
 	standins.servers = append(standins.servers, server)
 	standins.group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
+		return transport.Serve(server, listener)
 	})
 	return listener.Addr().String(), nil
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -91,3 +92,17 @@
 func Uncompressed() connect.ClientOption {
 	return connect.WithAcceptCompression("gzip", nil, nil)
 }
+
+// Serve serves with TLS if the server has a configuration for it, until the server is closed.
+func Serve(server *http.Server, listener net.Listener) error {
+	var err error
+	if server.TLSConfig == nil {
+		err = server.Serve(listener)
+	} else {
+		err = server.ServeTLS(listener, "", "")
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve %s", listener.Addr())
+}
