--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/quetzalstall/quetzalstall/examples"
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/standin/deployment"
 	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -139,7 +140,7 @@
 func (demo *Demo) warmUp(ctx context.Context) error {
 	maker := demo.warmUps
 	before := demo.jobs.completedWith(warmUpPrefix)
-	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, pollInterval) {
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline) && ctx.Err() == nil; lifecycle.Sleep(ctx, pollInterval) {
 		job, request := maker.next()
 		job.key.Job = fleet.JobID(fmt.Sprintf("%s%d", warmUpPrefix, maker.made))
 		request.JobId = string(job.key.Job)
@@ -178,7 +179,7 @@
 		DocumentJson: document,
 	}
 	var lastError error
-	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, pollInterval) {
+	for deadline := time.Now().Add(startLimit); time.Now().Before(deadline) && ctx.Err() == nil; lifecycle.Sleep(ctx, pollInterval) {
 		client, ok := demo.entries.anyClient()
 		if !ok {
 			continue
@@ -214,13 +215,13 @@
 				cancelAfter = time.Duration(1+jobs.random.IntN(1000)) * time.Millisecond
 			}
 			demo.jobs.start(ctx, job, request, cancelAfter)
-			sleep(ctx, gap(jobs.random, jobGap))
+			_ = lifecycle.Sleep(ctx, gap(jobs.random, jobGap))
 		}
 	}()
 	for time.Now().Before(end) && ctx.Err() == nil {
 		request, service := requests.next()
 		demo.requests.start(ctx, request, service, requests.random.IntN(25) == 0)
-		sleep(ctx, gap(requests.random, requestGap))
+		_ = lifecycle.Sleep(ctx, gap(requests.random, requestGap))
 	}
 	<-done
 	demo.say("load ended; %d jobs have not ended yet", demo.jobs.pending())
@@ -233,7 +234,7 @@
 
 // settle waits until every caller of a job knows its outcome.
 func (demo *Demo) settle(ctx context.Context) {
-	for deadline := time.Now().Add(settleLimit); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, pollInterval) {
+	for deadline := time.Now().Add(settleLimit); time.Now().Before(deadline) && ctx.Err() == nil; lifecycle.Sleep(ctx, pollInterval) {
 		if demo.jobs.pending() == 0 {
 			break
 		}
--- a/internal/demo/entries.go
+++ b/internal/demo/entries.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/node"
 	"github.com/quetzalstall/quetzalstall/internal/settings"
 	"github.com/quetzalstall/quetzalstall/internal/standin/deployment"
@@ -146,7 +147,7 @@
 
 // check does the balancer's health checks until ctx ends.
 func (entries *entries) check(ctx context.Context) {
-	for ; ctx.Err() == nil; sleep(ctx, readyCheck) {
+	for ; ctx.Err() == nil; lifecycle.Sleep(ctx, readyCheck) {
 		entries.refresh()
 	}
 }
@@ -168,7 +169,7 @@
 
 // awaitReady waits until every live process is ready.
 func (entries *entries) awaitReady(ctx context.Context, limit time.Duration) error {
-	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && ctx.Err() == nil; sleep(ctx, 100*time.Millisecond) {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline) && ctx.Err() == nil; lifecycle.Sleep(ctx, 100*time.Millisecond) {
 		if entries.refresh() == len(entries.live()) {
 			return nil
 		}
--- a/internal/demo/failures.go
+++ b/internal/demo/failures.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/profile"
@@ -37,7 +38,7 @@
 	began := time.Now()
 	for _, step := range steps {
 		due := began.Add(time.Duration(step.at * float64(demo.Duration)))
-		sleep(ctx, time.Until(due))
+		_ = lifecycle.Sleep(ctx, time.Until(due))
 		demo.say("%s", step.name)
 		if err := step.do(ctx); err != nil {
 			return err
@@ -226,7 +227,7 @@
 func (watch *configWatch) run(ctx context.Context, entries *entries) {
 	highest := map[*entry]fleet.Revision{}
 	late := map[*entry]fleet.Revision{}
-	for ; ctx.Err() == nil; sleep(ctx, configCheck) {
+	for ; ctx.Err() == nil; lifecycle.Sleep(ctx, configCheck) {
 		watch.mu.Lock()
 		wanted, since := watch.revision, time.Since(watch.at)
 		watch.mu.Unlock()
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
@@ -90,7 +91,7 @@
 			load.tell(job, callerv1.Outcome_OUTCOME_NOT_RUN, kind)
 			return false
 		}
-		sleep(ctx, pollInterval)
+		_ = lifecycle.Sleep(ctx, pollInterval)
 	}
 	return true
 }
@@ -121,7 +122,7 @@
 				return
 			}
 		}
-		sleep(ctx, pollInterval)
+		_ = lifecycle.Sleep(ctx, pollInterval)
 	}
 }
 
@@ -228,13 +229,3 @@
 		DeclaredRunTimeS: runTime.Seconds() * (0.1 + 5*maker.random.Float64()),
 	}
 }
-
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/standin/target"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -110,7 +111,7 @@
 // resolve asks other processes for the outcome of a request whose connection ended.
 func (load *requestLoad) resolve(ctx context.Context, request *toldRequest) {
 	for range 10 {
-		sleep(ctx, pollInterval)
+		_ = lifecycle.Sleep(ctx, pollInterval)
 		client, ok := load.balancer.pick()
 		if !ok {
 			continue
--- a/internal/domain/accept.go
+++ b/internal/domain/accept.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
@@ -109,7 +110,7 @@
 		default:
 			doubt = true
 		}
-		sleep(ctx, createPause)
+		_ = lifecycle.Sleep(ctx, createPause)
 		if ctx.Err() != nil {
 			return refusedSubmit(service.uncreated(doubt, record.Key()))
 		}
--- a/internal/domain/cluster_test.go
+++ b/internal/domain/cluster_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/internal/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
@@ -179,7 +180,7 @@
 		if _, err := cluster.live().service.Cancel(ctx, fleet.JobKey{Organisation: "org", Job: fleet.JobID(id)}); err == nil {
 			return
 		}
-		sleep(ctx, time.Second)
+		_ = lifecycle.Sleep(ctx, time.Second)
 	}
 	cluster.t.Errorf("job %s: cancellation not noted", id)
 }
--- a/internal/domain/fakes_test.go
+++ b/internal/domain/fakes_test.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/peer"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
@@ -149,7 +150,7 @@
 func (link *storeLink) Watch(ctx context.Context, prefix string, deliver func(platform.Change)) {
 	for ctx.Err() == nil {
 		link.read(ctx, prefix, deliver)
-		sleep(ctx, time.Second)
+		_ = lifecycle.Sleep(ctx, time.Second)
 	}
 }
 
--- a/internal/domain/front.go
+++ b/internal/domain/front.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/peer"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
@@ -81,7 +82,7 @@
 			return response, err
 		}
 		service.count("submissions_repeated", 1)
-		sleep(ctx, ownerRetry)
+		_ = lifecycle.Sleep(ctx, ownerRetry)
 	}
 }
 
@@ -121,7 +122,7 @@
 		} else if !errors.Is(err, platform.ErrNotFound) {
 			break
 		}
-		sleep(ctx, lookAgain)
+		_ = lifecycle.Sleep(ctx, lookAgain)
 	}
 	return nil, fault.New(fault.AnswerLost, "owner of domain %s did not answer: %v", service.domain(), cause)
 }
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	"github.com/quetzalstall/quetzalstall/internal/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
@@ -202,7 +203,7 @@
 		if err != nil || starting == 0 {
 			return
 		}
-		sleep(ctx, tickEvery/5)
+		_ = lifecycle.Sleep(ctx, tickEvery/5)
 	}
 }
 
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/quetzalstall/quetzalstall/internal/caller"
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/peer"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	"github.com/quetzalstall/quetzalstall/internal/worker"
@@ -140,7 +141,7 @@
 func (service *Service) watch(ctx context.Context) error {
 	for ctx.Err() == nil {
 		service.Store.Watch(ctx, recordPrefix, service.copies.deliver)
-		sleep(ctx, watchPause)
+		_ = lifecycle.Sleep(ctx, watchPause)
 	}
 	return nil
 }
@@ -169,7 +170,7 @@
 			since = time.Time{}
 			continue
 		}
-		sleep(ctx, ownerCheck)
+		_ = lifecycle.Sleep(ctx, ownerCheck)
 	}
 	return nil
 }
@@ -208,7 +209,7 @@
 // removeOld removes the records of jobs that ended long ago, if this process is the owner.
 func (service *Service) removeOld(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, retentionCheck)
+		_ = lifecycle.Sleep(ctx, retentionCheck)
 		if service.current() == nil {
 			continue
 		}
@@ -278,10 +279,3 @@
 	}
 	return dump
 }
-
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, pause time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, pause)
-	defer cancel()
-	<-ctx.Done()
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/quetzalstall/quetzalstall/internal/caller"
 	"github.com/quetzalstall/quetzalstall/internal/domain"
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/operator"
 	"github.com/quetzalstall/quetzalstall/internal/peer"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
@@ -157,7 +158,7 @@
 	defer limit.Stop()
 	node.draining.Store(true)
 	node.callers.Drain()
-	sleep(node.killed, time.Duration(node.Settings.BalancerDelay))
+	_ = lifecycle.Sleep(node.killed, time.Duration(node.Settings.BalancerDelay))
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
@@ -181,13 +182,3 @@
 	_ = node.peerServer.Close()
 	node.client.CloseIdleConnections()
 }
-
-// sleep waits for a time or until ctx ends.
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 )
 
 // errOverBudget is the refusal of a call by the budget; a retry would only add to the load.
@@ -43,7 +45,7 @@
 	if !ok {
 		return errOverBudget
 	}
-	if err := sleep(ctx, wait); err != nil {
+	if err := lifecycle.Sleep(ctx, wait); err != nil {
 		budget.giveBack()
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -128,17 +130,3 @@
 
 // Reset returns to the first wait.
 func (backoff *Backoff) Reset() { backoff.failures = 0 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/platform/inventory.go
+++ b/internal/platform/inventory.go
@@ -51,7 +51,7 @@
 			break
 		}
 		inventory.take(reading, err)
-		_ = sleep(ctx, inventory.Interval)
+		_ = lifecycle.Sleep(ctx, inventory.Interval)
 	}
 	return nil
 }
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1/platformv1connect"
 )
@@ -217,7 +218,7 @@
 }
 
 func (store *RemoteStore) mayRetry(ctx context.Context, backoff *Backoff) bool {
-	if !store.retries.take() || sleep(ctx, backoff.Next()) != nil {
+	if !store.retries.take() || lifecycle.Sleep(ctx, backoff.Next()) != nil {
 		return false
 	}
 	store.count("retry")
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,6 +5,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1"
 )
 
@@ -21,7 +22,7 @@
 		if caughtUp {
 			backoff.Reset()
 		}
-		_ = sleep(ctx, backoff.Next())
+		_ = lifecycle.Sleep(ctx, backoff.Next())
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,10 +101,10 @@
 	settings.checkNames(problems)
 	settings.checkAddresses(problems)
 	settings.checkTimes(problems)
-	checkRange(problems, "seats", settings.Seats, 1, 1000)
-	checkRange(problems, "max_concurrent_calls", settings.MaxConcurrentCalls, 1, 100_000)
-	checkRange(problems, "store_reads_per_s", settings.StoreReads, 1, 2000)
-	checkRange(problems, "store_writes_per_s", settings.StoreWrites, 1, 500)
+	problems.CheckRange("seats", int64(settings.Seats), 1, 1000)
+	problems.CheckRange("max_concurrent_calls", int64(settings.MaxConcurrentCalls), 1, 100_000)
+	problems.CheckRange("store_reads_per_s", int64(settings.StoreReads), 1, 2000)
+	problems.CheckRange("store_writes_per_s", int64(settings.StoreWrites), 1, 500)
 	tls := settings.TLS
 	if given := countSet(tls.CertificateFile, tls.KeyFile, tls.AuthorityFile); given != 0 && given != 3 {
 		problems.Add("tls", "needs certificate_file, key_file and authority_file, or none of them")
@@ -118,9 +118,7 @@
 		{"data_centre", string(settings.DataCentre)},
 	}
 	for _, entry := range names {
-		if !profile.ValidName(entry.name) {
-			problems.Add(entry.path, "needs 1 to 64 characters of [a-z0-9._-], the first a letter or digit; got %q", entry.name)
-		}
+		profile.CheckName(problems, entry.path, entry.name)
 	}
 	switch settings.LogLevel {
 	case "trace", "debug", "info", "warn", "error":
@@ -157,9 +155,7 @@
 		{"stop_limit", settings.StopLimit, time.Second, 30 * time.Minute},
 	}
 	for _, entry := range times {
-		if value := time.Duration(entry.value); value < entry.least || value > entry.most {
-			problems.Add(entry.path, "%v is not within %v to %v", value, entry.least, entry.most)
-		}
+		problems.CheckDuration(entry.path, time.Duration(entry.value), entry.least, entry.most)
 	}
 	if settings.TaskLease < 3*settings.RenewInterval {
 		problems.Add("task_lease", "%v is less than three times renew_interval (%v)",
@@ -177,12 +173,6 @@
 	}
 }
 
-func checkRange(problems *strictjson.Problems, path string, value, least, most int) {
-	if value < least || value > most {
-		problems.Add(path, "%d is not within %d to %d", value, least, most)
-	}
-}
-
 func countSet(values ...string) int {
 	count := 0
 	for _, value := range values {
--- a/internal/standin/platform/direct.go
+++ b/internal/standin/platform/direct.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	client "github.com/quetzalstall/quetzalstall/internal/platform"
 	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1"
 )
@@ -87,7 +88,7 @@
 			deliver(delivered)
 			return nil
 		})
-		_ = sleep(ctx, directWatchPause)
+		_ = lifecycle.Sleep(ctx, directWatchPause)
 	}
 }
 
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/platformv1"
 )
 
@@ -20,7 +21,7 @@
 	if err != nil {
 		return err
 	}
-	return sleep(ctx, delay)
+	return lifecycle.Sleep(ctx, delay)
 }
 
 // admitWrite counts a write and applies the faults. Its delay does not end with the caller.
@@ -33,7 +34,7 @@
 	if err != nil {
 		return err
 	}
-	return sleep(context.Background(), delay)
+	return lifecycle.Sleep(context.Background(), delay)
 }
 
 func (platform *Platform) refusal(taken *window, limit int) error {
@@ -48,20 +49,6 @@
 	return nil
 }
 
-func sleep(ctx context.Context, delay time.Duration) error {
-	if delay == 0 {
-		return nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (platform *Platform) get(ctx context.Context, key string) (*platformv1.Entry, error) {
 	if err := platform.admitRead(ctx, &platform.calls.Get); err != nil {
 		return nil, err
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -10,6 +10,7 @@
 	"reflect"
 	"sort"
 	"strings"
+	"time"
 )
 
 // Problem is one thing wrong with a document.
@@ -45,6 +46,20 @@
 	*problems = append(*problems, Problem{Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
+// CheckRange adds a problem when a value is out of its range.
+func (problems *Problems) CheckRange(path string, value, least, most int64) {
+	if value < least || value > most {
+		problems.Add(path, "%d is not within %d to %d", value, least, most)
+	}
+}
+
+// CheckDuration adds a problem when a duration is out of its range.
+func (problems *Problems) CheckDuration(path string, value, least, most time.Duration) {
+	if value < least || value > most {
+		problems.Add(path, "%v is not within %v to %v", value, least, most)
+	}
+}
+
 // Err returns the problems as an error, or nil when there are none.
 func (problems Problems) Err() error {
 	if len(problems) == 0 {
--- a/internal/worker/gang.go
+++ b/internal/worker/gang.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
@@ -268,7 +269,7 @@
 		if manager.stopOnce(ctx, member) {
 			return manager.readEnd(ctx, member, asked)
 		}
-		manager.wait(ctx, manager.Timing.FastSync)
+		_ = lifecycle.Sleep(ctx, manager.Timing.FastSync)
 	}
 	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
 }
@@ -296,14 +297,7 @@
 		if !ok && manager.SyncedSince(member.Worker, asked) {
 			break
 		}
-		manager.wait(ctx, manager.Timing.FastSync/4)
+		_ = lifecycle.Sleep(ctx, manager.Timing.FastSync/4)
 	}
 	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
 }
-
-// wait waits for a time or until ctx ends.
-func (manager *Manager) wait(ctx context.Context, pause time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, pause)
-	defer cancel()
-	<-ctx.Done()
-}
--- a/pkg/profile/check.go
+++ b/pkg/profile/check.go
@@ -57,19 +57,19 @@
 }
 
 func (organisation *Organisation) check(problems *strictjson.Problems) {
-	checkName(problems, "organisation", string(organisation.ID))
-	checkRange(problems, "quota", int64(organisation.Quota), 0, 1_000_000)
-	checkRange(problems, "max_waiting", int64(organisation.MaxWaiting), 1, MaxWaitingLimit)
+	CheckName(problems, "organisation", string(organisation.ID))
+	problems.CheckRange("quota", int64(organisation.Quota), 0, 1_000_000)
+	problems.CheckRange("max_waiting", int64(organisation.MaxWaiting), 1, MaxWaitingLimit)
 	for i, hash := range organisation.TokenHashes {
 		if !hashPattern.MatchString(hash) {
 			problems.Add(fmt.Sprintf("token_sha256[%d]", i), "needs 64 hexadecimal digits in lower case")
 		}
 	}
-	checkRange(problems, "guarantees", int64(len(organisation.Guarantees)), 0, MaxGuarantees)
+	problems.CheckRange("guarantees", int64(len(organisation.Guarantees)), 0, MaxGuarantees)
 	var total fleet.Accelerators
 	for i, guarantee := range organisation.Guarantees {
 		path := fmt.Sprintf("guarantees[%d]", i)
-		checkRange(problems, path+".count", int64(guarantee.Count), 1, MaxGuarantees)
+		problems.CheckRange(path+".count", int64(guarantee.Count), 1, MaxGuarantees)
 		checkShape(problems, path+".shape", guarantee.Shape)
 		total += fleet.Accelerators(guarantee.Count) * guarantee.Shape.Total()
 	}
@@ -80,7 +80,7 @@
 }
 
 func (organisation *Organisation) checkProfiles(problems *strictjson.Problems) {
-	checkRange(problems, "profiles", int64(len(organisation.Profiles)), 0, MaxProfiles)
+	problems.CheckRange("profiles", int64(len(organisation.Profiles)), 0, MaxProfiles)
 	seen := map[fleet.ProfileName]bool{}
 	for i := range organisation.Profiles {
 		profile := &organisation.Profiles[i]
@@ -97,20 +97,20 @@
 }
 
 func (profile *Profile) check(problems *strictjson.Problems, path string) {
-	checkName(problems, path+".name", string(profile.Name))
+	CheckName(problems, path+".name", string(profile.Name))
 	limits := path + ".limits"
-	checkRange(problems, limits+".max_waiting", int64(profile.Limits.MaxWaiting), 1, MaxWaitingLimit)
+	problems.CheckRange(limits+".max_waiting", int64(profile.Limits.MaxWaiting), 1, MaxWaitingLimit)
 	switch {
 	case profile.IsJob() && profile.Service != "":
 		problems.Add(path, "has both shape and service; a profile is for jobs or for requests")
 	case profile.IsJob():
 		checkShape(problems, path+".shape", *profile.Shape)
-		checkRange(problems, limits+".max_body_bytes", int64(profile.Limits.MaxBody), 0, int64(MaxInputLimit))
-		checkDuration(problems, limits+".max_run_time", profile.Limits.MaxRunTime, 0, 90*24*time.Hour)
+		problems.CheckRange(limits+".max_body_bytes", int64(profile.Limits.MaxBody), 0, int64(MaxInputLimit))
+		problems.CheckDuration(limits+".max_run_time", time.Duration(profile.Limits.MaxRunTime), 0, 90*24*time.Hour)
 	case profile.Service != "":
-		checkName(problems, path+".service", string(profile.Service))
-		checkRange(problems, limits+".max_body_bytes", int64(profile.Limits.MaxBody), 1, int64(MaxBodyLimit))
-		checkDuration(problems, limits+".max_run_time", profile.Limits.MaxRunTime, time.Millisecond, MaxRequestTime)
+		CheckName(problems, path+".service", string(profile.Service))
+		problems.CheckRange(limits+".max_body_bytes", int64(profile.Limits.MaxBody), 1, int64(MaxBodyLimit))
+		problems.CheckDuration(limits+".max_run_time", time.Duration(profile.Limits.MaxRunTime), time.Millisecond, MaxRequestTime)
 		if profile.Checkpoint {
 			problems.Add(path+".checkpoint", "requests to a service cannot checkpoint")
 		}
@@ -120,29 +120,18 @@
 }
 
 func checkShape(problems *strictjson.Problems, path string, shape fleet.Shape) {
-	checkRange(problems, path+".members", int64(shape.Members), 1, int64(MaxGang))
-	checkRange(problems, path+".accelerators", int64(shape.Accelerators), 1, int64(MaxGang))
-	checkRange(problems, path+".cores", int64(shape.Cores), 0, 4096)
-	checkRange(problems, path+".memory_bytes", int64(shape.Memory), 0, 64<<40)
+	problems.CheckRange(path+".members", int64(shape.Members), 1, int64(MaxGang))
+	problems.CheckRange(path+".accelerators", int64(shape.Accelerators), 1, int64(MaxGang))
+	problems.CheckRange(path+".cores", int64(shape.Cores), 0, 4096)
+	problems.CheckRange(path+".memory_bytes", int64(shape.Memory), 0, 64<<40)
 	if total := shape.Total(); total > MaxGang {
 		problems.Add(path, "gang of %d accelerators exceeds %d", total, MaxGang)
 	}
 }
 
-func checkName(problems *strictjson.Problems, path, name string) {
+// CheckName adds a problem when a name is not valid.
+func CheckName(problems *strictjson.Problems, path, name string) {
 	if !ValidName(name) {
 		problems.Add(path, "needs 1 to 64 characters of [a-z0-9._-], the first a letter or digit; got %q", name)
 	}
 }
-
-func checkRange(problems *strictjson.Problems, path string, value, least, most int64) {
-	if value < least || value > most {
-		problems.Add(path, "%d is not within %d to %d", value, least, most)
-	}
-}
-
-func checkDuration(problems *strictjson.Problems, path string, value Duration, least, most time.Duration) {
-	if duration := time.Duration(value); duration < least || duration > most {
-		problems.Add(path, "%v is not within %v to %v", duration, least, most)
-	}
-}
