Count a refused direct call as an error in the benchmarks

Cause: at 1,000 callers a direct mean of 80 ms lay below the service time of 100 ms. The trace: up to 7,315 direct calls of a run were answered 503, since 1,000 calls fall unevenly on 50 targets of 20 slots, and the direct path took any status for an answer. The routed path waits for slots, so it was compared with refusals. Change: a status other than 200 is an error; targets of the benchmarks have 64 slots. The bound stays at 1.5.

--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -29,8 +29,9 @@
 
 const (
 	benchTargets = 50
-	// benchSlots lets 1,000 requests run at once, so that nothing waits for a slot.
-	benchSlots = 20
+	// benchSlots lets 1,000 requests run at once however unevenly they fall on the targets, so that nothing waits
+	// for a slot or is refused.
+	benchSlots = 64
 	benchToken = "bench"
 	// maxRatio bounds the path through an entry process in terms of a direct call.
 	maxRatio = 1.5
@@ -139,7 +140,9 @@
 					return err
 				}
 				defer func() { _ = response.Body.Close() }()
-				_, err = io.ReadAll(response.Body)
+				if _, err = io.ReadAll(response.Body); err == nil && response.StatusCode != http.StatusOK {
+					err = fmt.Errorf("direct call: status %d", response.StatusCode)
+				}
 				return err
 			}
 			services := make([]callerv1connect.CallerServiceClient, benchTargets)
--- a/internal/target/bench_test.go
+++ b/internal/target/bench_test.go
@@ -20,8 +20,9 @@
 
 const (
 	benchTargets = 50
-	// benchSlots lets 1,000 requests run at once, so that nothing waits for a slot.
-	benchSlots = 20
+	// benchSlots lets 1,000 requests run at once however unevenly they fall on the targets, so that nothing waits
+	// for a slot or is refused.
+	benchSlots = 64
 	// maxCostRatio bounds the request path in terms of a direct call.
 	maxCostRatio = 1.5
 )
@@ -80,7 +81,9 @@
 			return err
 		}
 		defer func() { _ = response.Body.Close() }()
-		_, err = io.ReadAll(response.Body)
+		if _, err = io.ReadAll(response.Body); err == nil && response.StatusCode != http.StatusOK {
+			err = fmt.Errorf("direct call: status %d", response.StatusCode)
+		}
 		return err
 	}}
 }
