Give each HTTP client and server its own copy of the TLS configuration

Cause: the new test of a worker with mutual TLS failed under the race detector: net/http writes NextProtos into the configuration of a server that starts while clients of the same process clone it. What was ruled out: the keys, which are guarded by a lock. Change: transport copies the configuration on both sides.

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -39,7 +39,7 @@
 func NewHTTPClientWithDial(config *tls.Config, dial DialFunc) *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dial,
-		TLSClientConfig:     config,
+		TLSClientConfig:     config.Clone(),
 		TLSHandshakeTimeout: dialTimeout,
 		IdleConnTimeout:     idleTimeout,
 		Protocols:           protocols(config),
@@ -47,14 +47,14 @@
 	}}
 }
 
-// NewServer returns a server for handler that matches NewHTTPClient. With TLS it is started by ServeTLS with
+// NewServer returns a server for handler that matches NewHTTPClient. Both keep a copy of config, which net/http changes. With TLS it is started by ServeTLS with
 // empty file names, without TLS by Serve.
 func NewServer(handler http.Handler, config *tls.Config) *http.Server {
 	serverProtocols := protocols(config)
 	serverProtocols.SetHTTP1(true)
 	return &http.Server{
 		Handler:           handler,
-		TLSConfig:         config,
+		TLSConfig:         config.Clone(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
