Drop a wrapper and an unused argument of the demo

Cause: one function only renamed errors.As, and the job load's update ignored the job it was given. Change: both are gone; behaviour is the same. Result: vet, staticcheck, revive and the tests of internal/demo pass.

--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/standin/worker"
@@ -84,7 +85,7 @@
 		_, err := client.caller.Submit(callCtx, connect.NewRequest(request))
 		cancel()
 		if err == nil {
-			load.update(job, func() { job.accepted = true })
+			load.update(func() { job.accepted = true })
 			return true
 		}
 		if kind, proven := refusal(err); proven {
@@ -99,7 +100,7 @@
 // refusal returns the kind of a refusal and whether it proves that nothing ran.
 func refusal(err error) (string, bool) {
 	var connectError *connect.Error
-	if !connectErrorAs(err, &connectError) {
+	if !errors.As(err, &connectError) {
 		return "", false
 	}
 	kind := connectError.Meta().Get(kindHeader)
@@ -150,14 +151,14 @@
 }
 
 func (load *jobLoad) tell(job *toldJob, outcome callerv1.Outcome, kind string) {
-	load.update(job, func() {
+	load.update(func() {
 		job.outcome = outcome
 		job.kind = kind
 		job.toldAt = load.clock()
 	})
 }
 
-func (load *jobLoad) update(_ *toldJob, change func()) {
+func (load *jobLoad) update(change func()) {
 	load.mu.Lock()
 	defer load.mu.Unlock()
 	change()
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/pkg/errors"
 
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/standin/target"
@@ -21,8 +20,6 @@
 // kindHeader carries the error kind of a refusal.
 const kindHeader = "Error-Kind"
 
-func connectErrorAs(err error, into **connect.Error) bool { return errors.As(err, into) }
-
 // toldRequest is one request as its caller knows it.
 type toldRequest struct {
 	organisation fleet.OrganisationID
