Serve jobs on the users' platform through quetzalstalld

Cause: the first engine needs workers that arbitrate claims, which the platform's do not. Ruled out: the rendezvous owner on this platform (decision 009); a TOML settings reader (the deploy template renders JSON). Change: job model, progress, placement, term, ledger, controller and gateway as packages; platform/ translates the store, workers, callers and settings; quetzalstalld runs them; hclog lines through a bounded queue.

--- /dev/null
+++ b/internal/control/link.go
@@ -0,0 +1,239 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
+)
+
+// link talks to one life of one worker: it extends leases, lists what runs, and knows when every lease it granted has
+// ended for certain.
+type link struct {
+	loop  *dispatcher
+	entry WorkerEntry
+	// done ends the link's calls.
+	ctx    context.Context
+	cancel context.CancelFunc
+	wake   chan struct{}
+
+	mu    sync.Mutex
+	token Token
+	// clock is the least that the worker's clock showed at the local time clockAt.
+	clock   WorkerClock
+	clockAt time.Duration
+	// granted is the latest deadline that was sent.
+	granted WorkerClock
+	// foreign is until when a former controller's leases may last, in local time.
+	foreign time.Duration
+	// occupied is set while runs are placed on the worker.
+	occupied bool
+	// settled is set once the worker has answered to this link's token.
+	settled      bool
+	acknowledged int64
+	sent         int64
+}
+
+func newLink(parent context.Context, owner *dispatcher, entry WorkerEntry, token Token, foreign time.Duration) *link {
+	ctx, cancel := context.WithCancel(parent)
+	created := &link{
+		loop: owner, entry: entry, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), token: token,
+		clock: entry.Clock, clockAt: owner.clock() - time.Since(entry.Read), foreign: foreign,
+	}
+	owner.group.Go(func() error {
+		created.run()
+		return nil
+	})
+	return created
+}
+
+// slowClock is the rate of the slowest clock of a worker.
+const slowClock = 0.98
+
+// deadline returns a lease's end on the worker's clock and remembers it as granted.
+func (link *link) deadline() WorkerClock {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	elapsed := time.Duration(float64(link.loop.clock()-link.clockAt) * slowClock)
+	until := link.clock + WorkerClock(elapsed+link.loop.Lease)
+	link.granted = max(link.granted, until)
+	return until
+}
+
+// lapsed reports whether every lease on this life of the worker has ended for certain.
+func (link *link) lapsed() bool {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	now := link.loop.clock()
+	if now < link.foreign {
+		return false
+	}
+	if link.granted == 0 {
+		return true
+	}
+	elapsed := time.Duration(float64(now-link.clockAt) * slowClock)
+	return link.clock+WorkerClock(elapsed) > link.granted+WorkerClock(lapseSlack)
+}
+
+// lapseSlack covers the granularity of a worker's timers.
+const lapseSlack = 300 * time.Millisecond
+
+func (link *link) noteClock(clock WorkerClock) {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	if clock > 0 {
+		link.clock, link.clockAt = clock, link.loop.clock()
+	}
+}
+
+func (link *link) currentToken() Token {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return link.token
+}
+
+// set changes what the link tells the worker and wakes it when there is something new to tell.
+func (link *link) set(occupied bool, acknowledged int64) {
+	link.mu.Lock()
+	news := occupied && !link.occupied
+	link.occupied = occupied
+	link.acknowledged = max(link.acknowledged, acknowledged)
+	link.mu.Unlock()
+	if news {
+		link.poke()
+	}
+}
+
+func (link *link) poke() {
+	select {
+	case link.wake <- struct{}{}:
+	default:
+	}
+}
+
+const (
+	// holdWait is how long a worker may keep a listing open for the next end.
+	holdWait = time.Second
+	// holdTimeout bounds one listing beyond its wait.
+	holdTimeout = 600 * time.Millisecond
+	// holdRetry separates listings while the worker does not answer.
+	holdRetry = 150 * time.Millisecond
+	// idleAcknowledge is how long an idle worker waits for the acknowledgement of its last ends, so that several share
+	// a call.
+	idleAcknowledge = 300 * time.Millisecond
+)
+
+// run extends leases and lists while the worker is occupied, and otherwise only delivers acknowledgements.
+func (link *link) run() {
+	for link.ctx.Err() == nil {
+		link.mu.Lock()
+		order := HoldOrder{Token: link.token, Acknowledged: link.acknowledged}
+		occupied, settled, unsent := link.occupied, link.settled, link.acknowledged > link.sent
+		link.mu.Unlock()
+		switch {
+		case occupied && settled:
+			order.Wait = holdWait
+		case settled && !unsent:
+			link.rest()
+			continue
+		case settled:
+			_ = lifecycle.Sleep(link.ctx, idleAcknowledge)
+			link.mu.Lock()
+			order.Acknowledged = link.acknowledged
+			link.mu.Unlock()
+		}
+		if occupied && link.loop.term.MayHold() {
+			order.Deadline = link.deadline()
+		}
+		link.hold(order)
+	}
+}
+
+func (link *link) rest() {
+	select {
+	case <-link.wake:
+	case <-link.ctx.Done():
+	}
+}
+
+func (link *link) hold(order HoldOrder) {
+	sent := link.loop.clock()
+	ctx, cancel := context.WithTimeout(link.ctx, order.Wait+holdTimeout)
+	listing, err := link.loop.Workers.Hold(ctx, link.entry, order)
+	cancel()
+	if link.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		link.loop.post(func(loop *dispatcher) { loop.unanswered(link, order.Token, err) })
+		_ = lifecycle.Sleep(link.ctx, holdRetry)
+		return
+	}
+	link.noteClock(listing.Clock)
+	link.mu.Lock()
+	link.settled = true
+	link.sent = max(link.sent, order.Acknowledged)
+	link.mu.Unlock()
+	link.loop.post(func(loop *dispatcher) { loop.listed(link, sent, listing) })
+}
+
+const (
+	// orderTimeout bounds one order to a worker.
+	orderTimeout = 500 * time.Millisecond
+	// startAttempts is how often an unanswered start is sent before the run is given up. Sending it again is safe:
+	// the run number makes it idempotent.
+	startAttempts = 3
+	// stopRetry separates tries to stop a run.
+	stopRetry = 250 * time.Millisecond
+)
+
+// start sends the start of a run until it is answered.
+func (link *link) start(run *run, order StartOrder) {
+	var err error
+	tries := 0
+	for tries < startAttempts {
+		tries++
+		order.Deadline, order.Token = link.deadline(), link.currentToken()
+		ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
+		var clock WorkerClock
+		clock, err = link.loop.Workers.Start(ctx, link.entry, order)
+		cancel()
+		if link.ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			link.noteClock(clock)
+		}
+		if err == nil || refusalOf(err) != "" && !link.stale(err, order.Token) {
+			break
+		}
+		if tries == 1 {
+			link.loop.post(func(loop *dispatcher) { loop.startDelayed(run) })
+		}
+	}
+	link.loop.post(func(loop *dispatcher) { loop.startAnswered(run, order.Token, tries, err) })
+}
+
+// stale reports whether an order was refused because this link has raised the token meanwhile.
+func (link *link) stale(err error, token Token) bool {
+	return refusalOf(err) == RefusedToken && token < link.currentToken()
+}
+
+// stop sends the stop of a run until it is answered.
+func (link *link) stop(run *run) {
+	for link.ctx.Err() == nil && !run.over.Load() {
+		token := link.currentToken()
+		ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
+		clock, err := link.loop.Workers.Stop(ctx, link.entry, StopOrder{Task: run.task, Run: run.number, Token: token})
+		cancel()
+		if err == nil {
+			link.noteClock(clock)
+		}
+		if err == nil || refusalOf(err) != "" && !link.stale(err, token) {
+			link.loop.post(func(loop *dispatcher) { loop.stopAnswered(run, token, err) })
+			return
+		}
+		_ = lifecycle.Sleep(link.ctx, stopRetry)
+	}
+}
--- /dev/null
+++ b/internal/control/runs.go
@@ -0,0 +1,398 @@
+package control
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+)
+
+// tokenStep leaves room for a worker's later lives between the tokens of two terms.
+const tokenStep = 1024
+
+// observeWorkers takes entries of workers.
+func (loop *dispatcher) observeWorkers(changes []keyvalue.Change, whole bool, read time.Time) {
+	listed := map[fleet.WorkerID]bool{}
+	for _, change := range changes {
+		id := fleet.WorkerID(change.Key[len(loop.WorkerPrefix):])
+		listed[id] = true
+		if change.Deleted {
+			loop.unlist(id)
+			continue
+		}
+		entry, err := loop.DecodeWorker(change.Item)
+		if err != nil {
+			loop.Logger.Warn("unreadable worker", "key", change.Key, "error", err.Error())
+			loop.unlist(id)
+			continue
+		}
+		entry.Read = read
+		loop.observeWorker(entry)
+	}
+	if whole {
+		for id := range loop.workers {
+			if !listed[id] {
+				loop.unlist(id)
+			}
+		}
+	}
+	loop.changed = true
+}
+
+func (loop *dispatcher) unlist(id fleet.WorkerID) {
+	if worker := loop.workers[id]; worker != nil && worker.present {
+		worker.present = false
+		loop.Logger.Info("worker no longer listed", "worker", string(id), "runs", len(worker.runs))
+	}
+}
+
+func (loop *dispatcher) observeWorker(entry WorkerEntry) {
+	known := loop.workers[entry.ID]
+	switch {
+	case known == nil:
+		known = newWorker(entry)
+		loop.workers[entry.ID] = known
+		loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.begun+loop.Foreign)
+	case known.link == nil:
+		// Runs of a former controller are known, but not yet where the worker is.
+		loop.meet(known, entry)
+	case entry.Incarnation < known.entry.Incarnation:
+		return
+	case entry.Incarnation > known.entry.Incarnation:
+		loop.beginLife(known, entry)
+	}
+	if entry.Draining && !known.entry.Draining {
+		loop.Logger.Info("worker draining", "worker", string(entry.ID), "runs", len(known.runs),
+			"remaining_ms", entry.Remaining.Milliseconds())
+	}
+	known.entry, known.present = entry, true
+	if known.link != nil && known.entry.Address != known.link.entry.Address {
+		loop.beginLife(known, entry)
+	}
+}
+
+// meet connects a worker on which runs of a former controller were restored.
+func (loop *dispatcher) meet(known *worker, entry WorkerEntry) {
+	life := known.entry.Incarnation
+	loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.begun+loop.Foreign)
+	for _, run := range known.runs {
+		if life != entry.Incarnation {
+			loop.endRun(run, progress.RunLost, "", "the worker began a new life")
+			continue
+		}
+		run.link = known.link
+		if run.stopping {
+			loop.sendStop(run)
+		}
+	}
+}
+
+func (loop *dispatcher) connect(worker *worker, entry WorkerEntry, token Token, foreign time.Duration) {
+	worker.entry = entry
+	worker.settled, worker.silent = false, false
+	worker.seen, worker.unsaved = 0, map[int64]bool{}
+	worker.link = newLink(loop.ctx, loop, entry, token, foreign)
+	worker.updateLink()
+}
+
+// beginLife replaces a worker that has started anew: nothing of its former life runs. Its token rises, so that orders
+// to the former life that are carried out late are refused.
+func (loop *dispatcher) beginLife(worker *worker, entry WorkerEntry) {
+	token := worker.link.currentToken() + 1
+	loop.Logger.Info("worker began a new life", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
+		"former", int64(worker.entry.Incarnation), "runs", len(worker.runs))
+	worker.link.cancel()
+	for _, run := range worker.runs {
+		loop.endRun(run, progress.RunLost, "", "the worker began a new life")
+	}
+	loop.connect(worker, entry, token, 0)
+}
+
+// occupy notes a run on a worker that may not be listed.
+func (loop *dispatcher) occupy(placed *run, at progress.Location) {
+	known := loop.workers[at.Worker]
+	if known == nil {
+		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation})
+		loop.workers[at.Worker] = known
+	}
+	if known.link != nil && known.entry.Incarnation != at.Incarnation {
+		placed.link = known.link
+		loop.endRun(placed, progress.RunLost, "", "the worker began a new life")
+		return
+	}
+	placed.link = known.link
+	known.runs[placed.task] = placed
+	known.updateLink()
+}
+
+// unanswered takes the failure of a listing.
+func (loop *dispatcher) unanswered(link *link, token Token, err error) {
+	worker := loop.workers[link.entry.ID]
+	if worker == nil || worker.link != link {
+		return
+	}
+	switch refusalOf(err) {
+	case RefusedToken:
+		if !link.stale(err, token) {
+			loop.succeeded(link.entry.ID, token)
+		}
+		return
+	case RefusedLife:
+		for _, run := range worker.runs {
+			loop.endRun(run, progress.RunLost, "", "another life of the worker answers")
+		}
+	}
+	if !worker.silent {
+		worker.silent = true
+		loop.Logger.Warn("worker does not answer", "worker", string(link.entry.ID), "runs", len(worker.runs),
+			"error", err.Error())
+	}
+}
+
+// succeeded ends the term: a worker has seen the token of a later one.
+func (loop *dispatcher) succeeded(id fleet.WorkerID, token Token) {
+	loop.Logger.Warn("a later term gives orders", "worker", string(id), "token", int64(token))
+	loop.group.Go(func() error { return errSucceeded })
+}
+
+// lapse gives up the runs of a worker whose leases have all ended.
+func (loop *dispatcher) lapse(worker *worker) {
+	for _, run := range worker.runs {
+		loop.endRun(run, progress.RunLapsed, "", "the worker's leases have ended")
+	}
+	loop.changed = true
+}
+
+// listed takes a worker's answer to a listing that was asked for at the local time sent.
+func (loop *dispatcher) listed(link *link, sent time.Duration, listing Listing) {
+	worker := loop.workers[link.entry.ID]
+	if worker == nil || worker.link != link {
+		return
+	}
+	if listing.Incarnation != 0 && listing.Incarnation != link.entry.Incarnation {
+		entry := worker.entry
+		entry.Incarnation, entry.Clock, entry.Read = listing.Incarnation, listing.Clock, time.Now()
+		loop.beginLife(worker, entry)
+		return
+	}
+	if worker.silent {
+		worker.silent = false
+		loop.Logger.Info("worker answers again", "worker", string(link.entry.ID))
+	}
+	if !worker.settled {
+		worker.settled = true
+		loop.Logger.Info("worker settled", "worker", string(link.entry.ID), "running", len(listing.Running),
+			"ended", len(listing.Ended))
+	}
+	loop.takeEnds(worker, listing.Ended)
+	loop.checkRunning(worker, sent, listing)
+	worker.updateLink()
+	loop.changed = true
+}
+
+func (loop *dispatcher) takeEnds(worker *worker, ends []RunEnd) {
+	for _, end := range ends {
+		if end.Number <= worker.seen {
+			continue
+		}
+		worker.seen = end.Number
+		run := worker.runs[end.Task]
+		if run == nil || run.number != end.Run {
+			loop.Logger.Info("end of an unknown run", "task", end.Task.String(), "run", int(end.Run),
+				"how", string(end.How), "worker", string(worker.entry.ID))
+			continue
+		}
+		if worker.health.note(run.job.ID, end.How, loop.clock()) {
+			loop.Logger.Warn("worker suspect", "worker", string(worker.entry.ID), "until", quarantine.String())
+		}
+		loop.endRun(run, end.How, end.Checkpoint, "listed")
+		if run.job.dirty || run.job.writing {
+			loop.saveEnd(worker, run.job, end.Number)
+		}
+	}
+}
+
+// saveEnd keeps an end from being acknowledged until the record that counts it is stored.
+func (loop *dispatcher) saveEnd(worker *worker, job *job, number int64) {
+	worker.unsaved[number] = true
+	unsaved := worker.unsaved
+	job.dirty = true
+	job.after = append(job.after, func() {
+		delete(unsaved, number)
+		worker.updateLink()
+	})
+}
+
+// maxEnds is how many ends one listing holds at the most.
+const maxEnds = 500
+
+// checkRunning compares what a worker lists as running with what should run there.
+func (loop *dispatcher) checkRunning(worker *worker, sent time.Duration, listing Listing) {
+	running := map[string]bool{}
+	for _, status := range listing.Running {
+		running[status.Task.String()] = true
+		known := worker.runs[status.Task]
+		if known == nil || known.number != status.Run {
+			loop.stopStray(worker, status)
+			continue
+		}
+		known.job.record.Checkpointed(known.job.Job, known.task, known.number, status.Checkpoint)
+	}
+	if len(listing.Ended) >= maxEnds {
+		return
+	}
+	for id, run := range worker.runs {
+		if run.checkFrom != 0 && sent > run.checkFrom && !running[id.String()] {
+			loop.endRun(run, progress.RunLost, "", "the worker does not list it")
+		}
+	}
+}
+
+// stopStray stops a run that should not be there.
+func (loop *dispatcher) stopStray(worker *worker, status RunStatus) {
+	loop.Logger.Warn("stray run", "task", status.Task.String(), "run", int(status.Run),
+		"worker", string(worker.entry.ID))
+	stray := &run{task: status.Task, number: status.Run, link: worker.link}
+	loop.sendStop(stray)
+}
+
+// endRun notes that a run has ended for certain. The room that it took is free.
+func (loop *dispatcher) endRun(ended *run, how progress.How, checkpoint, cause string) {
+	job, id := ended.job, ended.task
+	ended.over.Store(true)
+	worker := ended.worker(loop)
+	if worker != nil && worker.runs[id] == ended {
+		delete(worker.runs, id)
+		worker.updateLink()
+	}
+	if !job.record.End(job.Job, id, ended.number, how, checkpoint, job.terms.Attempts) {
+		return
+	}
+	job.dirty, loop.changed = true, true
+	fields := []any{"task", id.String(), "run", int(ended.number), "how", string(how), "cause", cause,
+		"ran_ms", (loop.clock() - ended.since).Milliseconds(), "state", string(job.record.State)}
+	if worker != nil {
+		fields = append(fields, "worker", string(worker.entry.ID))
+	}
+	loop.Logger.Info("run ended", fields...)
+	switch {
+	case job.record.State == progress.Failed:
+		loop.stopJob(job)
+	case how == progress.RunLost || how == progress.RunLapsed:
+		loop.stopGang(ended)
+	}
+}
+
+// worker returns the worker that a run occupies, if it is still known.
+func (run *run) worker(loop *dispatcher) *worker {
+	task := run.job.record.Task(run.task)
+	if run.link != nil {
+		return loop.workers[run.link.entry.ID]
+	}
+	if task != nil {
+		return loop.workers[task.At.Worker]
+	}
+	return nil
+}
+
+// stopGang stops the other members of a gang that lost one.
+func (loop *dispatcher) stopGang(lost *run) {
+	if !lost.step().Gang {
+		return
+	}
+	for _, worker := range loop.workers {
+		for _, run := range worker.runs {
+			if run.job == lost.job && run.task.Occurrence == lost.task.Occurrence && run.task.Step == lost.task.Step {
+				loop.stopRun(run, "gang lost a member")
+			}
+		}
+	}
+}
+
+// stopRun makes a run end. A run whose start was not sent ends at once.
+func (loop *dispatcher) stopRun(stopped *run, cause string) {
+	if stopped.stopping {
+		return
+	}
+	stopped.stopping = true
+	loop.Logger.Info("run to stop", "task", stopped.task.String(), "run", int(stopped.number), "cause", cause)
+	if stopped.sent && stopped.link != nil {
+		loop.sendStop(stopped)
+	}
+}
+
+func (loop *dispatcher) sendStop(stopped *run) {
+	loop.group.Go(func() error {
+		stopped.link.stop(stopped)
+		return nil
+	})
+}
+
+// sendStart sends the start of a run whose placement is stored.
+func (loop *dispatcher) sendStart(placed *run, order StartOrder) {
+	worker := loop.workers[placed.link.entry.ID]
+	if worker == nil || worker.runs[placed.task] != placed {
+		return
+	}
+	if placed.stopping || !placed.job.open() || worker.link != placed.link {
+		loop.endRun(placed, progress.RunLost, "", "not started")
+		return
+	}
+	placed.sent, placed.since = true, loop.clock()
+	loop.group.Go(func() error {
+		placed.link.start(placed, order)
+		return nil
+	})
+}
+
+// startDelayed takes that a start was not answered at its first try.
+func (loop *dispatcher) startDelayed(placed *run) {
+	worker := loop.workers[placed.link.entry.ID]
+	if worker != nil && worker.link == placed.link && !worker.silent {
+		worker.silent = true
+		loop.Logger.Warn("worker does not answer a start", "worker", string(worker.entry.ID),
+			"task", placed.task.String())
+	}
+}
+
+// startAnswered takes the outcome of a start. A refusal proves that the run does not exist only if it answered the
+// first try.
+func (loop *dispatcher) startAnswered(placed *run, token Token, tries int, err error) {
+	worker := loop.workers[placed.link.entry.ID]
+	if worker == nil || worker.runs[placed.task] != placed {
+		return
+	}
+	if err == nil {
+		placed.checkFrom = loop.clock()
+		worker.link.poke()
+		return
+	}
+	refusal := refusalOf(err)
+	loop.Logger.Warn("start not confirmed", "task", placed.task.String(), "run", int(placed.number),
+		"worker", string(worker.entry.ID), "error", err.Error())
+	if refusal == RefusedUnhealthy {
+		worker.health.until = loop.clock() + quarantine
+	}
+	switch {
+	case refusal == RefusedToken && !placed.link.stale(err, token):
+		loop.succeeded(worker.entry.ID, token)
+	case refusal == "" || refusal == RefusedToken || refusal == RefusedRun || tries > 1:
+		// The run may exist or have ended: only a stop and a listing, or the end of the lease, settle it.
+		loop.stopRun(placed, "start not confirmed")
+	default:
+		loop.endRun(placed, progress.RunLost, "", "start refused: "+string(refusal))
+	}
+}
+
+// stopAnswered takes the outcome of a stop: from now on a listing that lacks the run proves that it is over.
+func (loop *dispatcher) stopAnswered(stopped *run, token Token, err error) {
+	if refusalOf(err) == RefusedToken && !stopped.link.stale(err, token) {
+		loop.succeeded(stopped.link.entry.ID, token)
+		return
+	}
+	if stopped.checkFrom == 0 {
+		stopped.checkFrom = loop.clock()
+	}
+	stopped.link.poke()
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
+	"github.com/quetzalstall/quetzalstall/internal/ledger"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// job is an accepted job with its progress.
+type job struct {
+	workload.Job
+	terms          workload.Terms
+	status         ledger.StatusEntry
+	record         *progress.Record
+	recordRevision keyvalue.Revision
+	// dirty is set while the record differs from the stored one.
+	dirty bool
+	// writing is set while a version of the record is being stored.
+	writing bool
+	// after is what happens once the present version of the record is stored.
+	after []func()
+}
+
+// open reports whether tasks of the job may still start.
+func (job *job) open() bool {
+	return !job.status.State.Terminal() && !job.record.State.Terminal()
+}
+
+// deadline is the completion time that the job's callers aim at, by its declared run times.
+func (job *job) deadline() time.Time {
+	return job.Accepted.Add(time.Duration(job.terms.Stretch*float64(job.Chain())) + job.terms.Target)
+}
+
+// run is a placed run of a task, which takes room on a worker until it has ended for certain.
+type run struct {
+	task   workload.TaskID
+	number progress.RunNumber
+	job    *job
+	link   *link
+	need   workload.Resources
+	since  time.Duration
+	// sent is set once the start may have left this process.
+	sent bool
+	// over is set once the run has ended for certain.
+	over atomic.Bool
+	// stopping is set once the run is to end.
+	stopping bool
+	// checkFrom is the time from which a listing must show the run or its end; 0 is unknown.
+	checkFrom time.Duration
+}
+
+func (run *run) step() workload.Step { return run.job.Steps[run.task.Step] }
+
+// worker is a worker with what occupies it.
+type worker struct {
+	entry WorkerEntry
+	// present is set while the store lists the worker.
+	present bool
+	link    *link
+	// settled is set once the worker has answered in this term; before, unknown runs may occupy it.
+	settled bool
+	// silent is set while the worker does not answer.
+	silent bool
+	runs   map[workload.TaskID]*run
+	// reserved is the room kept for units that wait for others to stop.
+	reserved workload.Resources
+	// seen is the highest number of an end that was taken in; stored are those up to which all are stored.
+	seen    int64
+	unsaved map[int64]bool
+	health  health
+}
+
+func newWorker(entry WorkerEntry) *worker {
+	return &worker{entry: entry, runs: map[workload.TaskID]*run{}, unsaved: map[int64]bool{}}
+}
+
+// used is the room taken by runs, those that are stopping included.
+func (worker *worker) used() workload.Resources {
+	var total workload.Resources
+	for _, run := range worker.runs {
+		total = total.Add(run.need)
+	}
+	return total
+}
+
+// acknowledged is the number up to which all ends are stored.
+func (worker *worker) acknowledged() int64 {
+	least := worker.seen
+	for number := range worker.unsaved {
+		least = min(least, number-1)
+	}
+	return least
+}
+
+// usable reports whether new tasks may start on the worker.
+func (worker *worker) usable(now time.Duration) bool {
+	return worker.present && worker.settled && !worker.silent && !worker.entry.Draining && worker.health.good(now)
+}
+
+// updateLink tells the link what the worker holds now.
+func (worker *worker) updateLink() {
+	if worker.link != nil {
+		worker.link.set(len(worker.runs) > 0, worker.acknowledged())
+	}
+}
+
+// health tells a worker that fails whatever it starts from one that ran a task that fails everywhere.
+type health struct {
+	// failed are the jobs whose runs failed on the worker since the last that did not.
+	failed map[fleet.JobID]bool
+	until  time.Duration
+}
+
+const (
+	// suspectJobs is how many jobs in a row must fail on a worker before it is left out.
+	suspectJobs = 2
+	// quarantine is how long such a worker gets nothing new.
+	quarantine = 6 * time.Second
+)
+
+func (health *health) good(now time.Duration) bool { return now >= health.until }
+
+// note takes the end of a run and reports whether the worker has just become suspect.
+func (health *health) note(id fleet.JobID, how progress.How, now time.Duration) bool {
+	switch how {
+	case progress.RunDone:
+		health.failed = nil
+		return false
+	case progress.RunFailed:
+		if health.failed == nil {
+			health.failed = map[fleet.JobID]bool{}
+		}
+		health.failed[id] = true
+	}
+	if len(health.failed) < suspectJobs {
+		return false
+	}
+	health.failed, health.until = nil, now+quarantine
+	return true
+}
--- /dev/null
+++ b/pkg/placement/placement.go
@@ -0,0 +1,166 @@
+// Package placement chooses workers for tasks. It is pure: the caller brings the room of each worker.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// Worker is what a placement needs to know of one worker that may take tasks.
+type Worker struct {
+	ID     fleet.WorkerID
+	Rack   fleet.RackID
+	Labels []string
+	// Free is the room without running, stopping and reserved tasks; it may be negative.
+	Free workload.Resources
+	// Capacity is the whole room.
+	Capacity workload.Resources
+	// Reclaimable is the room of running tasks that the demand may displace.
+	Reclaimable workload.Resources
+	// Held is the number of tasks of the same occurrence and step on the worker.
+	Held int
+}
+
+// Demand is a set of equal tasks that are placed all or none.
+type Demand struct {
+	Each         workload.Resources
+	Tasks        int
+	SameRack     bool
+	DataRack     fleet.RackID
+	Label        string
+	MaxPerWorker int
+}
+
+// DemandOf returns the demand of n tasks of a step.
+func DemandOf(step workload.Step, n int) Demand {
+	return Demand{
+		Each: step.Need(), Tasks: n, SameRack: step.Gang && step.SameRack,
+		DataRack: step.DataRack, Label: step.Label, MaxPerWorker: step.MaxPerWorker,
+	}
+}
+
+// Room selects which room of a worker counts.
+type Room func(Worker) workload.Resources
+
+// FreeRoom counts what is free now.
+func FreeRoom(worker Worker) workload.Resources { return worker.Free }
+
+// ReclaimableRoom counts what is free now or after displacing tasks.
+func ReclaimableRoom(worker Worker) workload.Resources { return worker.Free.Add(worker.Reclaimable) }
+
+// EmptyRoom counts the whole capacity, to tell whether a demand can ever be met.
+func EmptyRoom(worker Worker) workload.Resources { return worker.Capacity }
+
+// candidate is a worker with the number of tasks that it can take.
+type candidate struct {
+	worker Worker
+	room   workload.Resources
+	count  int
+}
+
+// Place returns a worker for each task of the demand, or false if they do not all fit. With near, tasks go only where
+// their data is and into one rack, as far as the demand asks for that.
+func Place(workers []Worker, demand Demand, room Room, near bool) ([]fleet.WorkerID, bool) {
+	candidates := eligible(workers, demand, room, near)
+	if !near || !demand.SameRack {
+		return fill(candidates, demand)
+	}
+	var best []fleet.WorkerID
+	bestSlack := 0
+	for _, members := range byRack(candidates) {
+		places, ok := fill(members, demand)
+		if !ok {
+			continue
+		}
+		if slack := spare(members); best == nil || slack < bestSlack {
+			best, bestSlack = places, slack
+		}
+	}
+	return best, best != nil
+}
+
+func eligible(workers []Worker, demand Demand, room Room, near bool) []candidate {
+	var found []candidate
+	for _, worker := range workers {
+		if demand.Label != "" && !slices.Contains(worker.Labels, demand.Label) {
+			continue
+		}
+		if near && demand.DataRack != "" && worker.Rack != demand.DataRack {
+			continue
+		}
+		available := room(worker)
+		count := available.Count(demand.Each)
+		if demand.MaxPerWorker > 0 {
+			count = min(count, demand.MaxPerWorker-worker.Held)
+		}
+		if count > 0 {
+			found = append(found, candidate{worker: worker, room: available, count: count})
+		}
+	}
+	return found
+}
+
+// byRack groups candidates in the order of their racks' names, so that equal choices repeat.
+func byRack(candidates []candidate) [][]candidate {
+	groups := map[fleet.RackID][]candidate{}
+	var racks []fleet.RackID
+	for _, candidate := range candidates {
+		rack := candidate.worker.Rack
+		if groups[rack] == nil {
+			racks = append(racks, rack)
+		}
+		groups[rack] = append(groups[rack], candidate)
+	}
+	slices.Sort(racks)
+	ordered := make([][]candidate, len(racks))
+	for i, rack := range racks {
+		ordered[i] = groups[rack]
+	}
+	return ordered
+}
+
+// spare is the number of free accelerators in a group.
+func spare(candidates []candidate) int {
+	total := 0
+	for _, candidate := range candidates {
+		total += int(candidate.room.Accelerators)
+	}
+	return total
+}
+
+// fill takes the fullest workers first, so that empty ones stay free for large tasks.
+func fill(candidates []candidate, demand Demand) ([]fleet.WorkerID, bool) {
+	total := 0
+	for _, candidate := range candidates {
+		total += candidate.count
+	}
+	if total < demand.Tasks {
+		return nil, false
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(
+			// A worker with enough free room comes before one whose tasks would be displaced.
+			cmp.Compare(displaced(a, demand), displaced(b, demand)),
+			cmp.Compare(a.room.Accelerators, b.room.Accelerators),
+			cmp.Compare(a.room.Millicores, b.room.Millicores),
+			cmp.Compare(a.worker.ID, b.worker.ID),
+		)
+	})
+	places := make([]fleet.WorkerID, 0, demand.Tasks)
+	for _, candidate := range candidates {
+		for n := 0; n < candidate.count && len(places) < demand.Tasks; n++ {
+			places = append(places, candidate.worker.ID)
+		}
+	}
+	return places, true
+}
+
+func displaced(candidate candidate, demand Demand) int {
+	if candidate.worker.Free.Fits(demand.Each) {
+		return 0
+	}
+	return 1
+}
