Acknowledge an end only after its record is stored

Cause: the end of a run told the worker's link what to acknowledge before the end was marked as not stored, so a controller that the store refuses acknowledged ends that its successor then could not see. Ruled out: the successor reading too early (it lists after the term's key has changed); a lapsed lease. Change: the end is marked first.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -206,10 +206,9 @@
 		if worker.health.note(run.job.ID, end.How, loop.clock()) {
 			loop.Logger.Warn("worker suspect", "worker", string(worker.entry.ID), "until", quarantine.String())
 		}
+		// The end is kept from being acknowledged first, since endRun tells the link what to acknowledge.
+		loop.saveEnd(worker, run.job, end.Number)
 		loop.endRun(run, end.How, end.Checkpoint, "listed")
-		if run.job.dirty || run.job.writing {
-			loop.saveEnd(worker, run.job, end.Number)
-		}
 	}
 }
 
