--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"github.com/pkg/errors"
-	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
 )
 
 const (
@@ -98,7 +98,7 @@
 		revision, err := loop.Store.Commit(ctx, batch.txn)
 		cancel()
 		if err == nil {
-			gometrics.GetOrRegisterTimer("commit_time", loop.Metrics).UpdateSince(started)
+			metrics.Observe(loop.Metrics, "commit_milliseconds", time.Since(started))
 			loop.post(func(loop *dispatcher) { loop.stored(batch, revision) })
 			return nil
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/pkg/catalog"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -129,8 +130,8 @@
 		outcome = string(fault.Of(err).Kind)
 	}
 	taken := time.Since(started)
-	gometrics.GetOrRegisterCounter("requests{call="+call+",outcome="+outcome+"}", gateway.Metrics).Inc(1)
-	gometrics.GetOrRegisterTimer("request_time{call="+call+"}", gateway.Metrics).Update(taken)
+	metrics.Count(gateway.Metrics, metrics.Name("requests", "call", call, "outcome", outcome))
+	metrics.Observe(gateway.Metrics, metrics.Name("request_milliseconds", "call", call), taken)
 	if call == callState && err == nil {
 		return err
 	}
