Let the leases of a silent worker end

Cause: each listing that a lost worker left unanswered was counted as a granted lease, so its runs were never given up; and a former controller's possible leases kept every worker's runs alive for 20 s after each change of the term. Ruled out: a worker's entry that comes back; room (most of it was free). Change: a silent worker is asked without a new deadline; once a worker has answered in a term, only one usual lease of the former term can be left. Listings that only repeat unsaved ends are paced, and transactions back off.

--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -16,8 +16,9 @@
 const (
 	// commitTimeout bounds one transaction; a slow store takes a quarter of a second.
 	commitTimeout = time.Second
-	// commitRetry separates tries of a transaction.
-	commitRetry = 80 * time.Millisecond
+	// commitRetry separates the first tries of a transaction, and commitRetryMax later ones.
+	commitRetry    = 80 * time.Millisecond
+	commitRetryMax = 320 * time.Millisecond
 	// entriesPerJob is the most entries of a transaction that one job takes: two conditions and two writes.
 	entriesPerJob = 4
 	jobsPerCommit = (keyvalue.MaxEntries - 1) / entriesPerJob
@@ -93,7 +94,7 @@
 // taken effect.
 func (loop *dispatcher) store(batch batch) error {
 	started := time.Now()
-	for {
+	for pause := commitRetry; ; pause = min(2*pause, commitRetryMax) {
 		ctx, cancel := context.WithTimeout(loop.ctx, commitTimeout)
 		revision, err := loop.Store.Commit(ctx, batch.txn)
 		cancel()
@@ -110,8 +111,10 @@
 		if loop.ctx.Err() != nil {
 			return loop.ctx.Err()
 		}
-		loop.Logger.Warn("records not stored yet", "jobs", len(batch.versions), "error", err.Error())
-		if err := lifecycle.Sleep(loop.ctx, commitRetry); err != nil {
+		if pause == commitRetry {
+			loop.Logger.Warn("records not stored yet", "jobs", len(batch.versions), "error", err.Error())
+		}
+		if err := lifecycle.Sleep(loop.ctx, pause); err != nil {
 			return err
 		}
 	}
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -30,9 +30,14 @@
 	// occupied is set while runs are placed on the worker.
 	occupied bool
 	// settled is set once the worker has answered to this link's token.
-	settled      bool
+	settled bool
+	// silent is set while the worker leaves listings unanswered. Then no lease is extended, since the leases that were
+	// granted before must end for certain some time.
+	silent       bool
 	acknowledged int64
 	sent         int64
+	// listedEnd is the highest number of an end that was listed.
+	listedEnd int64
 }
 
 func newLink(parent context.Context, owner *dispatcher, entry WorkerEntry, token Token, foreign time.Duration) *link {
@@ -119,6 +124,8 @@
 	holdTimeout = 600 * time.Millisecond
 	// holdRetry separates listings while the worker does not answer.
 	holdRetry = 150 * time.Millisecond
+	// repeatPause separates listings that only repeat ends.
+	repeatPause = 200 * time.Millisecond
 	// idleAcknowledge is how long an idle worker waits for the acknowledgement of its last ends, so that several share
 	// a call.
 	idleAcknowledge = 300 * time.Millisecond
@@ -130,8 +137,10 @@
 		link.mu.Lock()
 		order := HoldOrder{Token: link.token, Acknowledged: link.acknowledged}
 		occupied, settled, unsent := link.occupied, link.settled, link.acknowledged > link.sent
+		silent := link.silent
 		link.mu.Unlock()
 		switch {
+		case silent:
 		case occupied && settled:
 			order.Wait = holdWait
 		case settled && !unsent:
@@ -143,7 +152,7 @@
 			order.Acknowledged = link.acknowledged
 			link.mu.Unlock()
 		}
-		if occupied && link.loop.term.MayHold() {
+		if occupied && !silent && link.loop.term.MayHold() {
 			order.Deadline = link.deadline()
 		}
 		link.hold(order)
@@ -165,6 +174,9 @@
 	if link.ctx.Err() != nil {
 		return
 	}
+	link.mu.Lock()
+	link.silent = err != nil
+	link.mu.Unlock()
 	if err != nil {
 		link.loop.post(func(loop *dispatcher) { loop.unanswered(link, order.Token, err) })
 		_ = lifecycle.Sleep(link.ctx, holdRetry)
@@ -172,10 +184,22 @@
 	}
 	link.noteClock(listing.Clock)
 	link.mu.Lock()
-	link.settled = true
+	repeated := len(listing.Ended) > 0 && listing.Ended[len(listing.Ended)-1].Number <= link.listedEnd
+	for _, end := range listing.Ended {
+		link.listedEnd = max(link.listedEnd, end.Number)
+	}
+	if !link.settled {
+		// A former controller can extend no lease any more, and granted none beyond the usual time.
+		link.settled = true
+		link.foreign = min(link.foreign, link.loop.clock()+time.Duration(float64(link.loop.Lease)/slowClock)+lapseSlack)
+	}
 	link.sent = max(link.sent, order.Acknowledged)
 	link.mu.Unlock()
 	link.loop.post(func(loop *dispatcher) { loop.listed(link, sent, listing) })
+	if repeated {
+		// Ends that cannot be stored yet make the worker answer at once, again and again.
+		_ = lifecycle.Sleep(link.ctx, repeatPause)
+	}
 }
 
 const (
