Keep room for units that wait, and let urgent work displace other work

Ruled out: start latency (half within 132 ms), refusals (none). Change: demands are ranked by priority and by what they can still reach; a unit that does not fit keeps room in the plan, up to 30% of the accelerators; urgent work displaces what loses least; no far placement while workers are busy.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -32,6 +32,49 @@
 	since time.Time
 }
 
+// outlook is what a demand's job can still reach.
+type outlook int
+
+// The outlooks, the best first.
+const (
+	// inTime jobs can still be completed within their callers' objective.
+	inTime outlook = iota
+	// late jobs can be completed within lateFactor times the objective.
+	late
+	// tooLate jobs are completed only when nothing else waits.
+	tooLate
+)
+
+// lateFactor times the objective is how long a completion is still of use to callers.
+const lateFactor = 3
+
+// outlook tells what the job can reach if the unit starts now and declared run times hold.
+func (demand demand) outlook(now time.Time) outlook {
+	job := demand.job
+	left := job.remaining(demand.unit.Occurrence, demand.unit.Step)
+	objective := time.Duration(job.terms.Stretch*float64(job.Chain())) + job.terms.Target
+	reached := now.Add(left).Sub(demand.since)
+	switch {
+	case reached <= objective:
+		return inTime
+	case reached <= lateFactor*objective:
+		return late
+	}
+	return tooLate
+}
+
+// rank orders demands: what is of no use any more comes last, and what is late stands back by one priority.
+func (demand demand) rank(now time.Time) int {
+	seen := demand.outlook(now)
+	if seen == tooLate {
+		return lastRank
+	}
+	return int(demand.job.terms.Priority) + int(seen)
+}
+
+// lastRank comes after every priority.
+const lastRank = 1 << 20
+
 func (demand demand) step() workload.Step { return demand.job.Steps[demand.unit.Step] }
 
 func (demand demand) key() unitKey {
@@ -48,20 +91,39 @@
 	if len(demands) == 0 {
 		return
 	}
-	slices.SortStableFunc(demands, func(a, b demand) int {
+	planner := newPlanner(loop)
+	now := time.Now()
+	ranked := make([]rankedDemand, len(demands))
+	for i, demand := range demands {
+		rank := demand.rank(now)
+		if demand.job.terms.Priority == workload.Urgent && planner.guaranteed(demand.job) {
+			rank = guaranteedRank
+		}
+		ranked[i] = rankedDemand{demand: demand, rank: rank, deadline: demand.job.deadline()}
+	}
+	slices.SortStableFunc(ranked, func(a, b rankedDemand) int {
 		return cmp.Or(
-			cmp.Compare(a.job.terms.Priority, b.job.terms.Priority),
-			a.job.deadline().Compare(b.job.deadline()),
+			cmp.Compare(a.rank, b.rank),
+			a.deadline.Compare(b.deadline),
 			cmp.Compare(a.job.ID, b.job.ID),
 			cmp.Compare(a.unit.Step, b.unit.Step),
 		)
 	})
-	planner := newPlanner(loop)
-	for _, demand := range demands {
+	for _, demand := range ranked {
 		planner.try(demand)
 	}
 }
 
+// rankedDemand is a demand with what orders it.
+type rankedDemand struct {
+	demand
+	rank     int
+	deadline time.Time
+}
+
+// guaranteedRank is that of urgent work within its organisation's guarantee, which comes first.
+const guaranteedRank = -1
+
 // updateTerms gives open jobs the terms of the configuration in force.
 func (loop *dispatcher) updateTerms() {
 	catalog := loop.Catalog()
@@ -143,6 +205,8 @@
 	urgent map[fleet.OrganisationID]fleet.Accelerators
 	// busy is the share of accelerators in use of each service.
 	busy map[fleet.ServiceName]float64
+	// kept is the accelerators of each service that are kept for units that do not fit yet.
+	kept map[fleet.ServiceName]fleet.Accelerators
 }
 
 func newPlanner(loop *dispatcher) *planner {
@@ -161,7 +225,7 @@
 			Free: entry.Capacity.Sub(worker.used()).Sub(worker.reserved),
 		})
 	}
-	planner.busy = map[fleet.ServiceName]float64{}
+	planner.busy, planner.kept = map[fleet.ServiceName]float64{}, map[fleet.ServiceName]fleet.Accelerators{}
 	for service, workers := range planner.rooms {
 		planner.busy[service] = busyShare(workers)
 	}
@@ -181,10 +245,10 @@
 }
 
 // try starts a unit if it fits, or claims room for it if it may displace others.
-func (planner *planner) try(demand demand) {
+func (planner *planner) try(demand rankedDemand) {
 	key := demand.key()
 	if claim := planner.loop.claims[key]; claim != nil {
-		planner.tryClaim(demand, claim)
+		planner.tryClaim(demand.demand, claim)
 		return
 	}
 	whole := key
@@ -193,23 +257,50 @@
 		return
 	}
 	wanted := placement.DemandOf(demand.step(), len(demand.unit.Tasks))
-	workers := planner.workersFor(demand)
-	if places, ok := planner.choose(workers, wanted, demand); ok {
+	workers := planner.workersFor(demand.demand)
+	if places, ok := planner.choose(workers, wanted, demand.demand); ok {
 		planner.take(demand.job.terms.Service, places, wanted.Each)
-		planner.loop.place(demand, places)
+		planner.loop.place(demand.demand, places)
 		return
 	}
-	if demand.job.terms.Priority == workload.Urgent && planner.reclaim(demand, wanted, workers) {
+	urgent := demand.job.terms.Priority == workload.Urgent && demand.rank < lastRank
+	if urgent && planner.reclaim(demand.demand, wanted, workers) {
 		return
 	}
 	planner.full[whole] = true
+	if demand.rank < lastRank {
+		planner.keep(demand.demand, wanted, workers)
+	}
 }
 
-// farPatience is how long a unit waits for its data's rack, or for one rack, while other work keeps the workers busy.
-const farPatience = 4 * time.Second
+// keepShare is the share of a service's accelerators that may be kept free for units that do not fit yet.
+const keepShare = 0.3
+
+// keep takes room out of this plan for a unit that does not fit yet, so that units behind it do not fill what comes
+// free where it could start first. Without it, small tasks would keep a gang waiting for ever.
+func (planner *planner) keep(demand demand, wanted placement.Demand, workers []placement.Worker) {
+	service := demand.job.terms.Service
+	all := fleet.Accelerators(0)
+	emptying := slices.Clone(workers)
+	for i := range emptying {
+		all += emptying[i].Capacity.Accelerators
+		emptying[i].Reclaimable = planner.loop.workers[emptying[i].ID].used()
+	}
+	need := wanted.Each.Accelerators * fleet.Accelerators(wanted.Tasks)
+	if planner.kept[service]+need > fleet.Accelerators(keepShare*float64(all)) {
+		return
+	}
+	places, ok := placement.Place(emptying, wanted, placement.ReclaimableRoom, true)
+	if !ok {
+		return
+	}
+	planner.kept[service] += need
+	planner.take(service, places, wanted.Each)
+}
 
-// busyEnough is the share of accelerators in use from which waiting for a near place costs others nothing.
-const busyEnough = 0.5
+// busyEnough is the share of accelerators in use from which a unit waits for a near place: on a far one it would
+// take several times the room for the same work.
+const busyEnough = 0.6
 
 func (planner *planner) choose(
 	workers []placement.Worker, wanted placement.Demand, demand demand,
@@ -218,8 +309,7 @@
 		return places, true
 	}
 	_, possible := placement.Place(workers, wanted, placement.EmptyRoom, true)
-	idle := planner.busy[demand.job.terms.Service] < busyEnough
-	if possible && !idle && time.Since(demand.since) < farPatience {
+	if possible && planner.busy[demand.job.terms.Service] >= busyEnough {
 		return nil, false
 	}
 	return placement.Place(workers, wanted, placement.FreeRoom, false)
--- a/internal/control/reclaim.go
+++ b/internal/control/reclaim.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/placement"
@@ -10,15 +11,12 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// reclaim claims room for an urgent unit within its organisation's guarantee and stops what occupies it. It reports
-// whether room was found.
+// reclaim claims room for an urgent unit and stops what occupies it. It reports whether room was found.
 func (planner *planner) reclaim(demand demand, wanted placement.Demand, workers []placement.Worker) bool {
-	if !planner.guaranteed(demand.job) {
-		return false
-	}
 	reclaimable := slices.Clone(workers)
 	for i := range reclaimable {
-		reclaimable[i].Reclaimable = planner.displaceable(reclaimable[i].ID, demand.job.terms.Priority)
+		reclaimable[i].Reclaimable, reclaimable[i].Loss = planner.displaceable(
+			reclaimable[i].ID, demand.job.terms.Priority)
 	}
 	places, ok := placement.Place(reclaimable, wanted, placement.ReclaimableRoom, true)
 	if !ok {
@@ -77,20 +75,39 @@
 	return needs
 }
 
-// displaceable is the room of runs on a worker that work of a priority may displace. Runs that are stopping already
-// count too: their room comes free by itself.
-func (planner *planner) displaceable(id fleet.WorkerID, priority workload.Priority) workload.Resources {
+// displaceable is the room of runs on a worker that work of a priority may displace, and the work that is lost when
+// all of them stop. Runs that are stopping already count too: their room comes free by itself.
+func (planner *planner) displaceable(id fleet.WorkerID, priority workload.Priority) (workload.Resources, time.Duration) {
 	var room workload.Resources
+	loss := time.Duration(0)
 	for _, run := range planner.loop.workers[id].runs {
-		if run.stopping || run.job.terms.Priority > priority {
+		switch {
+		case run.stopping:
 			room = room.Add(run.need)
+		case run.job.terms.Priority > priority:
+			room = room.Add(run.need)
+			loss += run.loss(planner.now)
 		}
 	}
-	return room
+	return room, loss
+}
+
+// loss is the accelerator time that is thrown away when a run stops; a gang loses that of all its members.
+func (run *run) loss(now time.Duration) time.Duration {
+	step := run.step()
+	if step.Checkpoints {
+		return 0
+	}
+	loss := (now - run.since) * time.Duration(max(run.need.Accelerators, 1))
+	if step.Gang {
+		loss *= time.Duration(step.Tasks)
+	}
+	return loss
 }
 
 // displace stops runs on a worker until its reserved room will be free.
 func (loop *dispatcher) displace(worker *worker, priority workload.Priority) {
+	now := loop.clock()
 	left := worker.entry.Capacity.Sub(worker.reserved)
 	var victims []*run
 	for _, run := range worker.runs {
@@ -104,9 +121,8 @@
 	}
 	slices.SortFunc(victims, func(a, b *run) int {
 		return cmp.Or(
-			cmp.Compare(lossOf(a), lossOf(b)),
-			// What began last loses least.
-			cmp.Compare(b.since, a.since),
+			cmp.Compare(b.job.terms.Priority, a.job.terms.Priority),
+			cmp.Compare(a.loss(now), b.loss(now)),
 			cmp.Compare(a.task.String(), b.task.String()),
 		)
 	})
@@ -122,18 +138,6 @@
 	}
 }
 
-// lossOf ranks how much work a run loses when it is stopped.
-func lossOf(run *run) int {
-	loss := 0
-	if !run.step().Checkpoints {
-		loss++
-	}
-	if run.step().Gang {
-		loss += 2
-	}
-	return loss
-}
-
 // relieves reports whether need is of a kind that is short.
 func relieves(left, need workload.Resources) bool {
 	return left.Accelerators < 0 && need.Accelerators > 0 ||
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -36,6 +36,22 @@
 	return job.Accepted.Add(time.Duration(job.terms.Stretch*float64(job.Chain())) + job.terms.Target)
 }
 
+// remaining returns the declared run time of the longest chain of steps from a step on that are not done.
+func (job *job) remaining(occurrence, from int) time.Duration {
+	ends := make([]time.Duration, len(job.Steps))
+	longest := time.Duration(0)
+	for i := from; i < len(job.Steps); i++ {
+		for _, earlier := range job.Steps[i].After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		if !job.record.Occurrences[occurrence].Steps[i].Done() {
+			ends[i] += job.Steps[i].Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // run is a placed run of a task, which takes room on a worker until it has ended for certain.
 type run struct {
 	task   workload.TaskID
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
@@ -20,6 +21,8 @@
 	Capacity workload.Resources
 	// Reclaimable is the room of running tasks that the demand may displace.
 	Reclaimable workload.Resources
+	// Loss is the accelerator time that is thrown away when everything in Reclaimable is displaced.
+	Loss time.Duration
 	// Held is the number of tasks of the same occurrence and step on the worker.
 	Held int
 }
@@ -144,6 +147,7 @@
 		return cmp.Or(
 			// A worker with enough free room comes before one whose tasks would be displaced.
 			cmp.Compare(displaced(a, demand), displaced(b, demand)),
+			cmp.Compare(a.worker.Loss, b.worker.Loss),
 			cmp.Compare(a.room.Accelerators, b.room.Accelerators),
 			cmp.Compare(a.room.Millicores, b.room.Millicores),
 			cmp.Compare(a.worker.ID, b.worker.ID),
