Weigh what is lost when urgent work displaces other work

Change: loose runs go first, gangs only for a guarantee; the victims are those that lose least, and urgent work beyond a guarantee may cost no more than its own size. The first try of a start waits 250 ms.

--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -126,8 +126,11 @@
 	for _, stored := range batch.versions {
 		job := stored.job
 		job.recordRevision, job.writing = revision, false
-		if stored.status != nil && job.status.Revision < revision {
-			job.status = ledger.StatusEntry{Status: *stored.status, Revision: revision}
+		if stored.status != nil {
+			// The watch may have brought this status already, or a later one.
+			if job.status.Revision < revision {
+				job.status = ledger.StatusEntry{Status: *stored.status, Revision: revision}
+			}
 			loop.Logger.Info("job state stored", "job", string(job.ID), "state", string(stored.status.State),
 				"revision", int64(revision), "age_ms", time.Since(job.Accepted).Milliseconds())
 		}
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -205,6 +205,8 @@
 const (
 	// orderTimeout bounds one order to a worker.
 	orderTimeout = 500 * time.Millisecond
+	// startTimeout bounds the first try of a start; the second may take twice as long, and so on.
+	startTimeout = 250 * time.Millisecond
 	// startAttempts is how often an unanswered start is sent before the run is given up. Sending it again is safe:
 	// the run number makes it idempotent.
 	startAttempts = 3
@@ -219,7 +221,7 @@
 	for tries < startAttempts {
 		tries++
 		order.Deadline, order.Token = link.deadline(), link.currentToken()
-		ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
+		ctx, cancel := context.WithTimeout(link.ctx, time.Duration(tries)*startTimeout)
 		var clock WorkerClock
 		clock, err = link.loop.Workers.Start(ctx, link.entry, order)
 		cancel()
@@ -232,9 +234,6 @@
 		if err == nil || refusalOf(err) != "" && !link.stale(err, order.Token) {
 			break
 		}
-		if tries == 1 {
-			link.loop.post(func(loop *dispatcher) { loop.startDelayed(run) })
-		}
 	}
 	link.loop.post(func(loop *dispatcher) { loop.startAnswered(run, order.Token, tries, err) })
 }
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -22,7 +22,6 @@
 type claim struct {
 	places []fleet.WorkerID
 	need   workload.Resources
-	since  time.Duration
 }
 
 // demand is a unit that could start now.
@@ -322,6 +321,13 @@
 		return workers
 	}
 	held := map[fleet.WorkerID]int{}
+	for key, claim := range planner.loop.claims {
+		if key.job == demand.job.ID && key.occurrence == demand.unit.Occurrence && key.step == demand.unit.Step {
+			for _, id := range claim.places {
+				held[id]++
+			}
+		}
+	}
 	for _, task := range demand.job.record.Occurrences[demand.unit.Occurrence].Steps[demand.unit.Step].Tasks {
 		if task.Phase == progress.Placed {
 			held[task.At.Worker]++
--- a/internal/control/reclaim.go
+++ b/internal/control/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -11,32 +12,175 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// reclaim claims room for an urgent unit and stops what occupies it. It reports whether room was found.
+// reclaim claims room for a unit and stops what occupies it, if that is worth the work that is lost. It reports whether
+// room was claimed.
 func (planner *planner) reclaim(demand demand, wanted placement.Demand, workers []placement.Worker) bool {
+	guaranteed := demand.job.terms.Priority == workload.Urgent && planner.guaranteed(demand.job)
+	limit := planner.lossLimit(demand, wanted, guaranteed)
+	for _, gangs := range []bool{false, true} {
+		if gangs && !guaranteed {
+			break
+		}
+		places, ok := planner.placeOver(demand, wanted, workers, gangs)
+		if !ok {
+			continue
+		}
+		victims := planner.victims(places, wanted.Each, demand.job.terms.Priority, gangs)
+		if lossOf(victims, planner.now) <= limit {
+			planner.claim(demand, wanted, places, victims)
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// urgentLossShare is the work, as a share of its own, that urgent work beyond a guarantee may cost others.
+	urgentLossShare = 1.0
+	// lossShare is the same for work of other priorities.
+	lossShare = 0.15
+)
+
+// lossLimit returns the accelerator time that may be thrown away for a unit; a guarantee is worth any.
+func (planner *planner) lossLimit(demand demand, wanted placement.Demand, guaranteed bool) time.Duration {
+	if guaranteed {
+		return math.MaxInt64
+	}
+	work := demand.step().Estimate * time.Duration(int(max(wanted.Each.Accelerators, 1))*wanted.Tasks)
+	share := lossShare
+	if demand.job.terms.Priority == workload.Urgent {
+		share = urgentLossShare
+	}
+	return time.Duration(share * float64(work))
+}
+
+// placeOver places a unit in room that is free or occupied by runs that it may displace.
+func (planner *planner) placeOver(
+	demand demand, wanted placement.Demand, workers []placement.Worker, gangs bool,
+) ([]fleet.WorkerID, bool) {
 	reclaimable := slices.Clone(workers)
 	for i := range reclaimable {
+		known := planner.loop.workers[reclaimable[i].ID]
 		reclaimable[i].Reclaimable, reclaimable[i].Loss = planner.displaceable(
-			reclaimable[i].ID, demand.job.terms.Priority)
+			known, wanted.Each, reclaimable[i].Free, demand.job.terms.Priority, gangs)
 	}
 	places, ok := placement.Place(reclaimable, wanted, placement.ReclaimableRoom, true)
-	if !ok {
-		places, ok = placement.Place(reclaimable, wanted, placement.ReclaimableRoom, false)
+	if _, possible := placement.Place(reclaimable, wanted, placement.EmptyRoom, true); !ok && !possible {
+		return placement.Place(reclaimable, wanted, placement.ReclaimableRoom, false)
 	}
-	if !ok {
-		return false
+	return places, ok
+}
+
+// displaceable is the room of runs on a worker that work of a priority may displace, and what is lost when one task of
+// the given size displaces the cheapest of them. Runs that are stopping already count too: their room comes free by
+// itself.
+func (planner *planner) displaceable(
+	worker *worker, each, free workload.Resources, priority workload.Priority, gangs bool,
+) (workload.Resources, time.Duration) {
+	var room workload.Resources
+	for _, run := range worker.runs {
+		if run.stopping {
+			room, free = room.Add(run.need), free.Add(run.need)
+		}
+	}
+	loss := time.Duration(0)
+	for _, run := range worker.cheapest(priority, gangs, planner.now) {
+		if !free.Fits(each) {
+			free = free.Add(run.need)
+			loss += run.loss(planner.now)
+		}
+		room = room.Add(run.need)
+	}
+	return room, loss
+}
+
+// cheapest lists the runs that work of a priority may displace, those that lose least for the room that they free first.
+func (worker *worker) cheapest(priority workload.Priority, gangs bool, now time.Duration) []*run {
+	var runs []*run
+	for _, run := range worker.runs {
+		if !run.stopping && run.job.terms.Priority > priority && (gangs || !run.step().Gang) {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(
+			cmp.Compare(b.job.terms.Priority, a.job.terms.Priority),
+			cmp.Compare(a.loss(now), b.loss(now)),
+			cmp.Compare(a.task.String(), b.task.String()),
+		)
+	})
+	return runs
+}
+
+// restoreTime is about what a run loses that resumes from a checkpoint.
+const restoreTime = 250 * time.Millisecond
+
+// loss is the accelerator time that is thrown away when a run stops; a gang loses that of all its members.
+func (run *run) loss(now time.Duration) time.Duration {
+	step := run.step()
+	lost := now - run.since
+	if step.Checkpoints {
+		lost = min(lost, restoreTime)
+	}
+	lost *= time.Duration(max(run.need.Accelerators, 1))
+	if step.Gang {
+		lost *= time.Duration(step.Tasks)
+	}
+	return lost
+}
+
+func lossOf(runs []*run, now time.Duration) time.Duration {
+	total := time.Duration(0)
+	for _, run := range runs {
+		total += run.loss(now)
 	}
+	return total
+}
+
+// victims returns the runs that must stop before tasks fit on their places.
+func (planner *planner) victims(
+	places []fleet.WorkerID, each workload.Resources, priority workload.Priority, gangs bool,
+) []*run {
+	var victims []*run
+	for _, id := range distinct(places) {
+		worker := planner.loop.workers[id]
+		tasks := 0
+		for _, place := range places {
+			if place == id {
+				tasks++
+			}
+		}
+		left := worker.entry.Capacity.Sub(worker.reserved).Sub(each.Times(tasks))
+		for _, run := range worker.runs {
+			if !run.stopping {
+				left = left.Sub(run.need)
+			}
+		}
+		for _, run := range worker.cheapest(priority, gangs, planner.now) {
+			if !left.NonNegative() && relieves(left, run.need) {
+				left = left.Add(run.need)
+				victims = append(victims, run)
+			}
+		}
+	}
+	return victims
+}
+
+// claim reserves the places of a unit and stops the victims.
+func (planner *planner) claim(demand demand, wanted placement.Demand, places []fleet.WorkerID, victims []*run) {
 	loop := planner.loop
-	loop.claims[demand.key()] = &claim{places: places, need: wanted.Each, since: planner.now}
+	loop.claims[demand.key()] = &claim{places: places, need: wanted.Each}
 	planner.take(demand.job.terms.Service, places, wanted.Each)
 	for _, id := range places {
 		loop.workers[id].reserved = loop.workers[id].reserved.Add(wanted.Each)
 	}
 	loop.Logger.Info("room claimed", "job", string(demand.job.ID), "step", demand.unit.Step,
-		"workers", distinct(places), "organisation", string(demand.job.Organisation))
-	for _, id := range distinct(places) {
-		loop.displace(loop.workers[id], demand.job.terms.Priority)
+		"workers", distinct(places), "organisation", string(demand.job.Organisation), "victims", len(victims),
+		"lost_ms", lossOf(victims, planner.now).Milliseconds())
+	for _, victim := range victims {
+		loop.stopRun(victim, "displaced by more urgent work")
+		loop.stopGang(victim)
 	}
-	return true
 }
 
 // guaranteed reports whether the unfinished urgent jobs of the job's organisation need no more than its guarantee.
@@ -75,69 +219,6 @@
 	return needs
 }
 
-// displaceable is the room of runs on a worker that work of a priority may displace, and the work that is lost when
-// all of them stop. Runs that are stopping already count too: their room comes free by itself.
-func (planner *planner) displaceable(id fleet.WorkerID, priority workload.Priority) (workload.Resources, time.Duration) {
-	var room workload.Resources
-	loss := time.Duration(0)
-	for _, run := range planner.loop.workers[id].runs {
-		switch {
-		case run.stopping:
-			room = room.Add(run.need)
-		case run.job.terms.Priority > priority:
-			room = room.Add(run.need)
-			loss += run.loss(planner.now)
-		}
-	}
-	return room, loss
-}
-
-// loss is the accelerator time that is thrown away when a run stops; a gang loses that of all its members.
-func (run *run) loss(now time.Duration) time.Duration {
-	step := run.step()
-	if step.Checkpoints {
-		return 0
-	}
-	loss := (now - run.since) * time.Duration(max(run.need.Accelerators, 1))
-	if step.Gang {
-		loss *= time.Duration(step.Tasks)
-	}
-	return loss
-}
-
-// displace stops runs on a worker until its reserved room will be free.
-func (loop *dispatcher) displace(worker *worker, priority workload.Priority) {
-	now := loop.clock()
-	left := worker.entry.Capacity.Sub(worker.reserved)
-	var victims []*run
-	for _, run := range worker.runs {
-		if run.stopping {
-			continue
-		}
-		left = left.Sub(run.need)
-		if run.job.terms.Priority > priority {
-			victims = append(victims, run)
-		}
-	}
-	slices.SortFunc(victims, func(a, b *run) int {
-		return cmp.Or(
-			cmp.Compare(b.job.terms.Priority, a.job.terms.Priority),
-			cmp.Compare(a.loss(now), b.loss(now)),
-			cmp.Compare(a.task.String(), b.task.String()),
-		)
-	})
-	for _, victim := range victims {
-		if left.NonNegative() {
-			return
-		}
-		if relieves(left, victim.need) {
-			left = left.Add(victim.need)
-			loop.stopRun(victim, "displaced by urgent work")
-			loop.stopGang(victim)
-		}
-	}
-}
-
 // relieves reports whether need is of a kind that is short.
 func relieves(left, need workload.Resources) bool {
 	return left.Accelerators < 0 && need.Accelerators > 0 ||
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -345,16 +345,6 @@
 	})
 }
 
-// startDelayed takes that a start was not answered at its first try.
-func (loop *dispatcher) startDelayed(placed *run) {
-	worker := loop.workers[placed.link.entry.ID]
-	if worker != nil && worker.link == placed.link && !worker.silent {
-		worker.silent = true
-		loop.Logger.Warn("worker does not answer a start", "worker", string(worker.entry.ID),
-			"task", placed.task.String())
-	}
-}
-
 // startAnswered takes the outcome of a start. A refusal proves that the run does not exist only if it answered the
 // first try.
 func (loop *dispatcher) startAnswered(placed *run, token Token, tries int, err error) {
