Refuse callers at once while this process does not reach the store

Ruled out: relaying to a peer (callers reach another process themselves); a shorter watch for everybody (more calls). A submission is tried for 1.5 s. Mirrors of a lost store ask without waiting, which shows soonest that it is back.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return err
 	}
+	if gateway.StoreLost() {
+		return errStoreLost
+	}
 	return gateway.retry(ctx, func(ctx context.Context) error {
 		if entry.State.Terminal() {
 			return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,7 +22,9 @@
 
 const (
 	// callTimeout bounds one call to the store, so that a second try fits into the deadline of most callers.
-	callTimeout = 900 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
+	// patience is how long a submission is tried. It leaves callers time to ask another process.
+	patience = 1500 * time.Millisecond
 	// retryPause separates tries of one request while the store does not answer.
 	retryPause = 60 * time.Millisecond
 	// storeRetryAfter is when callers come back after the store refused.
@@ -67,8 +69,11 @@
 	Statuses      *ledger.StatusBook
 	// StatusesSynced reports whether Statuses has been filled once.
 	StatusesSynced func() bool
-	Logger         hclog.Logger
-	Metrics        gometrics.Registry
+	// StoreLost reports whether the store leaves calls of this process unanswered. A caller that needs the store is
+	// then refused at once, since it is served sooner elsewhere.
+	StoreLost func() bool
+	Logger    hclog.Logger
+	Metrics   gometrics.Registry
 }
 
 // access is a request whose profile and organisation are known.
@@ -169,6 +174,11 @@
 }
 
 func (gateway *Gateway) submit(ctx context.Context, request Request, found access, job workload.Job) error {
+	if gateway.StoreLost() {
+		return errStoreLost
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
 	if !validID(found.job) {
 		return fault.New(fault.InvalidArgument, "%q is not a job id", found.job)
 	}
@@ -184,6 +194,10 @@
 	return acceptance.run(ctx)
 }
 
+// errStoreLost refuses a caller before anything was sent to the store.
+var errStoreLost = fault.New(fault.StoreUnavailable, "this process does not reach the store").
+	WithRetryAfter(storeRetryAfter)
+
 // maxIDLength bounds a job id, so that the keys made of it stay within the store's bound.
 const maxIDLength = 64
 
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -32,7 +32,7 @@
 }
 
 // watchSlack is how long the answer to a watch may take beyond its wait before the connection counts as silent.
-const watchSlack = time.Second
+const watchSlack = 700 * time.Millisecond
 
 // Contact returns when the store last answered; zero is never.
 func (mirror *Mirror) Contact() time.Time {
@@ -84,8 +84,13 @@
 // watch retries until it succeeds; only lost history or the end of ctx makes it return an error.
 func (mirror *Mirror) watch(ctx context.Context, after Revision) (Revision, error) {
 	for {
-		bounded, cancel := context.WithTimeout(ctx, mirror.Wait+watchSlack)
-		changes, next, err := mirror.Store.Watch(bounded, mirror.Prefix, after, mirror.Wait)
+		wait := mirror.Wait
+		if mirror.lost {
+			// An answer at once shows soonest that the store is back.
+			wait = 0
+		}
+		bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		changes, next, err := mirror.Store.Watch(bounded, mirror.Prefix, after, wait)
 		cancel()
 		if err == nil {
 			mirror.noteContact()
