--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+func gpus(count int) workload.Resources {
+	return workload.Resources{Accelerators: fleet.Accelerators(count)}
+}
+
+func testWorker(id, rack string, free int) Worker {
+	return Worker{ID: fleet.WorkerID(id), Rack: fleet.RackID(rack), Free: gpus(free), Capacity: gpus(8)}
+}
+
+// TestPlace guards where tasks go: whole units only, near their data, and where they leave large rooms whole.
+func TestPlace(t *testing.T) {
+	workers := []Worker{
+		testWorker("a1", "a", 8), testWorker("a2", "a", 3), testWorker("b1", "b", 8), testWorker("b2", "b", 8),
+	}
+	labelled := slices.Clone(workers)
+	labelled[2].Labels = []string{"fast"}
+	held := slices.Clone(workers)
+	held[1].Held = 1
+	busy := slices.Clone(workers)
+	for i := range busy {
+		busy[i].Reclaimable = busy[i].Capacity.Sub(busy[i].Free)
+	}
+	busy[0].Free, busy[0].Reclaimable, busy[0].Loss = gpus(0), gpus(8), time.Minute
+	busy[2].Free, busy[2].Reclaimable, busy[2].Loss = gpus(0), gpus(8), time.Second
+	busy[1].Loss = time.Hour
+	busy[3].Free, busy[3].Loss = gpus(0), time.Hour
+	tests := []struct {
+		name    string
+		workers []Worker
+		demand  Demand
+		room    Room
+		near    bool
+		want    []fleet.WorkerID
+	}{
+		{"small task goes to the fullest worker", workers, Demand{Each: gpus(2), Tasks: 1}, FreeRoom, true, []fleet.WorkerID{"a2"}},
+		{"whole unit or nothing", workers, Demand{Each: gpus(8), Tasks: 4}, FreeRoom, true, nil},
+		{"one rack", workers, Demand{Each: gpus(8), Tasks: 2, SameRack: true}, FreeRoom, true, []fleet.WorkerID{"b1", "b2"}},
+		{"no rack is enough", workers, Demand{Each: gpus(8), Tasks: 3, SameRack: true}, FreeRoom, true, nil},
+		{"several racks when near is given up", workers, Demand{Each: gpus(8), Tasks: 3, SameRack: true}, FreeRoom, false, []fleet.WorkerID{"a1", "b1", "b2"}},
+		{"at its data", workers, Demand{Each: gpus(1), Tasks: 1, DataRack: "b"}, FreeRoom, true, []fleet.WorkerID{"b1"}},
+		{"label", labelled, Demand{Each: gpus(1), Tasks: 1, Label: "fast"}, FreeRoom, true, []fleet.WorkerID{"b1"}},
+		{"most on one worker", workers, Demand{Each: gpus(1), Tasks: 3, MaxPerWorker: 1}, FreeRoom, true, []fleet.WorkerID{"a2", "a1", "b1"}},
+		{"tasks that are there count", held, Demand{Each: gpus(1), Tasks: 1, MaxPerWorker: 1}, FreeRoom, true, []fleet.WorkerID{"a1"}},
+		{"displaces what loses least", busy, Demand{Each: gpus(8), Tasks: 1}, ReclaimableRoom, true, []fleet.WorkerID{"b1"}},
+		{"empty room tells what is possible", busy, Demand{Each: gpus(8), Tasks: 4}, EmptyRoom, true, []fleet.WorkerID{"b1", "a1", "a2", "b2"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			got, ok := Place(test.workers, test.demand, test.room, test.near)
+			if ok != (test.want != nil) || ok && !slices.Equal(got, test.want) {
+				t.Errorf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+// TestPlaceKeepsItsBounds guards every placement against exceeding room, label, rack and the most on one worker.
+func TestPlaceKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := make([]Worker, rapid.IntRange(1, 12).Draw(t, "workers"))
+		for i := range workers {
+			workers[i] = testWorker(fmt.Sprintf("w%02d", i), fmt.Sprintf("r%d", i/3), rapid.IntRange(0, 8).Draw(t, "free"))
+			if rapid.Bool().Draw(t, "labelled") {
+				workers[i].Labels = []string{"x"}
+			}
+		}
+		demand := Demand{
+			Each: gpus(rapid.IntRange(1, 8).Draw(t, "each")), Tasks: rapid.IntRange(1, 10).Draw(t, "tasks"),
+			SameRack: rapid.Bool().Draw(t, "same rack"), MaxPerWorker: rapid.IntRange(0, 3).Draw(t, "most"),
+			Label: rapid.SampledFrom([]string{"", "x"}).Draw(t, "label"),
+		}
+		places, ok := Place(workers, demand, FreeRoom, true)
+		if !ok {
+			return
+		}
+		if len(places) != demand.Tasks {
+			t.Fatalf("%d places for %d tasks", len(places), demand.Tasks)
+		}
+		counts, racks := map[fleet.WorkerID]int{}, map[fleet.RackID]bool{}
+		for _, id := range places {
+			counts[id]++
+		}
+		for _, worker := range workers {
+			if count := counts[worker.ID]; count > 0 {
+				racks[worker.Rack] = true
+				if worker.Free.Count(demand.Each) < count || demand.MaxPerWorker > 0 && count > demand.MaxPerWorker {
+					t.Fatalf("%d tasks on %+v", count, worker)
+				}
+				if demand.Label != "" && len(worker.Labels) == 0 {
+					t.Fatalf("no label on %+v", worker)
+				}
+			}
+		}
+		if demand.SameRack && len(racks) > 1 {
+			t.Fatalf("racks %v", racks)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/progress/progress_test.go
@@ -0,0 +1,128 @@
+package progress
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+var testJob = workload.Job{ID: "j", Steps: []workload.Step{
+	{Tasks: 2}, {Tasks: 3, Gang: true, After: []int{0}},
+}}
+
+func task(step, index int) workload.TaskID {
+	return workload.TaskID{Job: "j", Step: step, Index: index}
+}
+
+func placeAll(record *Record, step int) {
+	for _, unit := range record.Units(testJob, 0, step) {
+		record.Place(unit, make([]Location, len(unit.Tasks)))
+	}
+}
+
+// TestSteps guards the order of steps, and that a gang is done with the first end of a member.
+func TestSteps(t *testing.T) {
+	record := New(testJob)
+	placeAll(record, 0)
+	record.End(testJob, task(0, 0), 1, RunDone, "", 2)
+	if record.Ready(testJob, 0, 1) {
+		t.Error("the second step is ready before the first is done")
+	}
+	record.End(testJob, task(0, 1), 1, RunDone, "", 2)
+	if !record.Ready(testJob, 0, 1) || record.State != Running {
+		t.Errorf("state %s", record.State)
+	}
+	placeAll(record, 1)
+	if !record.End(testJob, task(1, 1), 1, RunDone, "", 2) || record.State != Completed {
+		t.Errorf("state %s after the gang is done", record.State)
+	}
+	if record.End(testJob, task(1, 0), 1, RunFailed, "", 2) {
+		t.Error("an end after the gang was done changed the record")
+	}
+}
+
+// TestEnds guards what each end of a run counts for.
+func TestEnds(t *testing.T) {
+	tests := []struct {
+		name     string
+		step     int
+		ends     []How
+		attempts int
+		state    State
+	}{
+		{"a stop is no attempt", 0, []How{RunStopped, RunLapsed, RunLost, RunBroken}, 2, Running},
+		{"failures fail the job", 0, []How{RunFailed, RunStopped, RunFailed}, 2, Failed},
+		{"no bound", 0, []How{RunFailed, RunFailed, RunFailed}, 0, Running},
+		{"a gang fails once a run", 1, []How{RunFailed}, 2, Running},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			record := New(testJob)
+			for _, how := range test.ends {
+				placeAll(record, test.step)
+				run := record.Task(task(test.step, 0)).Run
+				for index := range testJob.Steps[test.step].Tasks {
+					record.End(testJob, task(test.step, index), run, how, "", test.attempts)
+				}
+			}
+			if record.State != test.state {
+				t.Errorf("state %s, want %s", record.State, test.state)
+			}
+		})
+	}
+}
+
+// TestGangWaitsForAllMembers guards a gang against a new run while a member of the former may still be there.
+func TestGangWaitsForAllMembers(t *testing.T) {
+	record := New(testJob)
+	placeAll(record, 1)
+	record.End(testJob, task(1, 0), 1, RunBroken, "c1", 2)
+	if units := record.Units(testJob, 0, 1); len(units) != 0 {
+		t.Errorf("units %v", units)
+	}
+	record.End(testJob, task(1, 1), 1, RunBroken, "", 2)
+	record.End(testJob, task(1, 2), 1, RunBroken, "", 2)
+	units := record.Units(testJob, 0, 1)
+	if len(units) != 1 || record.Place(units[0], make([]Location, 3)) != 2 {
+		t.Errorf("units %v", units)
+	}
+	if record.Task(task(1, 2)).Checkpoint != "c1" {
+		t.Error("the members start from different checkpoints")
+	}
+}
+
+// TestRecordSurvivesStorage guards a takeover: what is read back is what was written.
+func TestRecordSurvivesStorage(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		record := New(testJob)
+		for range rapid.IntRange(0, 12).Draw(t, "events") {
+			step := rapid.IntRange(0, 1).Draw(t, "step")
+			if rapid.Bool().Draw(t, "place") && record.Ready(testJob, 0, step) {
+				placeAll(record, step)
+				continue
+			}
+			id := task(step, rapid.IntRange(0, testJob.Steps[step].Tasks-1).Draw(t, "index"))
+			how := rapid.SampledFrom([]How{RunDone, RunFailed, RunStopped}).Draw(t, "how")
+			before := *record.Task(id)
+			changed := record.End(testJob, id, before.Run, how, "", 3)
+			if after := *record.Task(id); changed && after.Run < before.Run {
+				t.Fatalf("run %d after %d", after.Run, before.Run)
+			}
+		}
+		encoded, err := json.Marshal(record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var read Record
+		if err := json.Unmarshal(encoded, &read); err != nil {
+			t.Fatal(err)
+		}
+		if !reflect.DeepEqual(&read, record) || !read.Matches(testJob) {
+			t.Fatalf("read %+v, written %+v", read, record)
+		}
+	})
+}
