Settle a worker's new life by its first listing, and acknowledge each end once

Ruled out: two controllers (one token throughout); leases that lapsed. Change: an acknowledgement is sent once and never to a silent worker; what a new life runs is decided by its first listing under a raised token, also after a change of the term.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -304,7 +304,7 @@
 				id := workload.TaskID{Job: job.ID, Occurrence: k, Step: s, Index: i}
 				restored := &run{
 					task: id, number: task.Run, job: job, need: job.Steps[s].Need(), since: loop.clock(), sent: true,
-					checkFrom: loop.begun,
+					checkFrom: loop.begun - 1,
 				}
 				loop.occupy(restored, task.At)
 			}
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -135,9 +135,14 @@
 func (link *link) run() {
 	for link.ctx.Err() == nil {
 		link.mu.Lock()
-		order := HoldOrder{Token: link.token, Acknowledged: link.acknowledged}
+		order := HoldOrder{Token: link.token}
 		occupied, settled, unsent := link.occupied, link.settled, link.acknowledged > link.sent
 		silent := link.silent
+		if unsent && !silent {
+			// What was acknowledged is not repeated: a worker that has begun a new life meanwhile numbers its ends anew
+			// and would forget those.
+			order.Acknowledged = link.acknowledged
+		}
 		link.mu.Unlock()
 		switch {
 		case silent:
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -273,7 +273,7 @@
 }
 
 // keepShare is the share of a service's accelerators that may be kept free for units that do not fit yet.
-const keepShare = 0.3
+const keepShare = 0.6
 
 // keep takes room out of this plan for a unit that does not fit yet, so that units behind it do not fill what comes
 // free where it could start first. Without it, small tasks would keep a gang waiting for ever.
--- a/internal/control/reclaim.go
+++ b/internal/control/reclaim.go
@@ -36,7 +36,7 @@
 
 const (
 	// urgentLossShare is the work, as a share of its own, that urgent work beyond a guarantee may cost others.
-	urgentLossShare = 1.0
+	urgentLossShare = 0.4
 	// lossShare is the same for work of other priorities.
 	lossShare = 0.15
 )
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -74,13 +74,8 @@
 
 // meet connects a worker on which runs of a former controller were restored.
 func (loop *dispatcher) meet(known *worker, entry WorkerEntry) {
-	life := known.entry.Incarnation
 	loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.begun+loop.Foreign)
 	for _, run := range known.runs {
-		if life != entry.Incarnation {
-			loop.endRun(run, progress.RunLost, "", "the worker began a new life")
-			continue
-		}
 		run.link = known.link
 		if run.stopping {
 			loop.sendStop(run)
@@ -96,17 +91,18 @@
 	worker.updateLink()
 }
 
-// beginLife replaces a worker that has started anew: nothing of its former life runs. Its token rises, so that orders
-// to the former life that are carried out late are refused.
+// beginLife replaces a worker that has started anew. Its token rises, so that orders to the former life that are
+// carried out late are refused. A start may have reached the new life before, so only the first listing with the new
+// token tells that the runs of the former life are lost.
 func (loop *dispatcher) beginLife(worker *worker, entry WorkerEntry) {
 	token := worker.link.currentToken() + 1
 	loop.Logger.Info("worker began a new life", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
 		"former", int64(worker.entry.Incarnation), "runs", len(worker.runs))
 	worker.link.cancel()
+	loop.connect(worker, entry, token, loop.clock()+loop.Foreign)
 	for _, run := range worker.runs {
-		loop.endRun(run, progress.RunLost, "", "the worker began a new life")
+		run.link, run.checkFrom = worker.link, loop.clock()-1
 	}
-	loop.connect(worker, entry, token, 0)
 }
 
 // occupy notes a run on a worker that may not be listed.
@@ -116,11 +112,6 @@
 		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation})
 		loop.workers[at.Worker] = known
 	}
-	if known.link != nil && known.entry.Incarnation != at.Incarnation {
-		placed.link = known.link
-		loop.endRun(placed, progress.RunLost, "", "the worker began a new life")
-		return
-	}
 	placed.link = known.link
 	known.runs[placed.task] = placed
 	known.updateLink()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -66,7 +66,7 @@
 	over atomic.Bool
 	// stopping is set once the run is to end.
 	stopping bool
-	// checkFrom is the time from which a listing must show the run or its end; 0 is unknown.
+	// checkFrom is the time after which a listing that is asked for must show the run or its end; 0 is unknown.
 	checkFrom time.Duration
 }
 
