--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -187,6 +187,12 @@
 		_ = lifecycle.Sleep(link.ctx, holdRetry)
 		return
 	}
+	if listing.Incarnation != 0 && listing.Incarnation != link.entry.Incarnation {
+		// Nothing more of what this link knows is for the life that answered.
+		link.loop.post(func(loop *dispatcher) { loop.listed(link, sent, listing) })
+		<-link.ctx.Done()
+		return
+	}
 	link.noteClock(listing.Clock)
 	link.mu.Lock()
 	news := false
