--- /dev/null
+++ b/internal/control/dump.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// Dump is the state of a controller. Payloads and credentials are left out.
+type Dump struct {
+	Token   int64        `json:"token"`
+	Jobs    []JobDump    `json:"jobs"`
+	Workers []WorkerDump `json:"workers"`
+	// Claims are units that wait for others to stop, as job.occurrence.step.task.
+	Claims []string `json:"claims"`
+}
+
+// JobDump is a job that has not ended.
+type JobDump struct {
+	ID           fleet.JobID          `json:"job_id"`
+	Organisation fleet.OrganisationID `json:"organisation,omitempty"`
+	Profile      fleet.ProfileName    `json:"profile"`
+	Priority     workload.Priority    `json:"priority"`
+	State        progress.State       `json:"state"`
+	AgeMS        int64                `json:"age_ms"`
+	// Tasks counts the tasks in each phase.
+	Tasks map[string]int `json:"tasks"`
+	// Unsaved is set while the record differs from the stored one.
+	Unsaved bool `json:"unsaved"`
+}
+
+// WorkerDump is a worker with its runs.
+type WorkerDump struct {
+	ID       fleet.WorkerID     `json:"worker_id"`
+	Rack     fleet.RackID       `json:"rack"`
+	Listed   bool               `json:"listed"`
+	Settled  bool               `json:"settled"`
+	Silent   bool               `json:"silent"`
+	Draining bool               `json:"draining"`
+	Suspect  bool               `json:"suspect"`
+	Free     workload.Resources `json:"free"`
+	Runs     []string           `json:"runs"`
+}
+
+// Dump returns the controller's state, or false while this process holds no term or ctx ends first.
+func (controller *Controller) Dump(ctx context.Context) (Dump, bool) {
+	loop := controller.current.Load()
+	if loop == nil {
+		return Dump{}, false
+	}
+	answer := make(chan Dump, 1)
+	loop.post(func(loop *dispatcher) { answer <- loop.dump() })
+	select {
+	case dump := <-answer:
+		return dump, true
+	case <-ctx.Done():
+	case <-loop.ctx.Done():
+	}
+	return Dump{}, false
+}
+
+func (loop *dispatcher) dump() Dump {
+	dump := Dump{Token: int64(loop.term.Token), Jobs: []JobDump{}, Workers: []WorkerDump{}, Claims: []string{}}
+	for _, id := range slices.Sorted(maps.Keys(loop.jobs)) {
+		if job := loop.jobs[id]; job.open() || job.record.Occupied() {
+			dump.Jobs = append(dump.Jobs, job.dump())
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
+		dump.Workers = append(dump.Workers, loop.workers[id].dump(loop.clock()))
+	}
+	for key := range loop.claims {
+		task := workload.TaskID{Job: key.job, Occurrence: key.occurrence, Step: key.step, Index: key.task}
+		dump.Claims = append(dump.Claims, task.String())
+	}
+	return dump
+}
+
+func (job *job) dump() JobDump {
+	tasks := map[string]int{}
+	for _, occurrence := range job.record.Occurrences {
+		for _, step := range occurrence.Steps {
+			for _, task := range step.Tasks {
+				phase := string(task.Phase)
+				if task.Phase == progress.Waiting {
+					phase = "waiting"
+				}
+				tasks[phase]++
+			}
+		}
+	}
+	return JobDump{
+		ID: job.ID, Organisation: job.Organisation, Profile: job.Profile, Priority: job.terms.Priority,
+		State: job.status.State, AgeMS: time.Since(job.Accepted).Milliseconds(), Tasks: tasks,
+		Unsaved: job.dirty || job.writing,
+	}
+}
+
+func (worker *worker) dump(now time.Duration) WorkerDump {
+	dump := WorkerDump{
+		ID: worker.entry.ID, Rack: worker.entry.Rack, Listed: worker.present, Settled: worker.settled,
+		Silent: worker.silent, Draining: worker.entry.Draining, Suspect: !worker.health.good(now),
+		Free: worker.entry.Capacity.Sub(worker.used()).Sub(worker.reserved), Runs: []string{},
+	}
+	for id := range worker.runs {
+		dump.Runs = append(dump.Runs, id.String())
+	}
+	slices.Sort(dump.Runs)
+	return dump
+}
