Move runs off a draining worker

Ruled out: treating a refused connection as proof (a cut can refuse too). Change: runs that are not expected to end before the worker leaves are stopped, which saves their checkpoints.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -62,16 +62,33 @@
 	case entry.Incarnation > known.entry.Incarnation:
 		loop.beginLife(known, entry)
 	}
-	if entry.Draining && !known.entry.Draining {
-		loop.Logger.Info("worker draining", "worker", string(entry.ID), "runs", len(known.runs),
-			"remaining_ms", entry.Remaining.Milliseconds())
-	}
+	drains := entry.Draining && !known.entry.Draining
 	known.entry, known.present = entry, true
+	if drains {
+		loop.evacuate(known)
+	}
 	if known.link != nil && known.entry.Address != known.link.entry.Address {
 		loop.beginLife(known, entry)
 	}
 }
 
+// leaveSlack is how much longer than announced a draining worker is expected to stay.
+const leaveSlack = time.Second
+
+// evacuate stops the runs of a draining worker that are not expected to end before it leaves, so that they go on
+// elsewhere from their checkpoints, or at least begin again sooner.
+func (loop *dispatcher) evacuate(leaving *worker) {
+	loop.Logger.Info("worker draining", "worker", string(leaving.entry.ID), "runs", len(leaving.runs),
+		"remaining_ms", leaving.entry.Remaining.Milliseconds())
+	for _, run := range leaving.runs {
+		left := run.step().Estimate - (loop.clock() - run.since)
+		if run.step().Lasting || left > leaving.entry.Remaining+leaveSlack {
+			loop.stopRun(run, "its worker leaves")
+			loop.stopGang(run)
+		}
+	}
+}
+
 // meet connects a worker on which runs of a former controller were restored.
 func (loop *dispatcher) meet(known *worker, entry WorkerEntry) {
 	loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.begun+loop.Foreign)
