--- /dev/null
+++ b/internal/ledger/statusbook_test.go
@@ -0,0 +1,53 @@
+package ledger
+
+import (
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"pgregory.net/rapid"
+
+	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+)
+
+// TestStatusBook guards callers' answers: whatever order news comes in, the newest status counts, and the number of
+// pending jobs is that of the queued ones.
+func TestStatusBook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		book := NewStatusBook(hclog.NewNullLogger())
+		newest := map[fleet.JobID]StatusEntry{}
+		for range rapid.IntRange(1, 40).Draw(t, "news") {
+			id := rapid.SampledFrom([]fleet.JobID{"a", "b", "c"}).Draw(t, "job")
+			entry := StatusEntry{
+				Status: Status{
+					State:   rapid.SampledFrom([]progress.State{progress.Queued, progress.Running, progress.Completed}).Draw(t, "state"),
+					Profile: "p",
+				},
+				Revision: keyvalue.Revision(rapid.IntRange(1, 20).Draw(t, "revision")),
+			}
+			if entry.Revision > newest[id].Revision {
+				newest[id] = entry
+			}
+			if rapid.Bool().Draw(t, "own") {
+				book.Note(id, entry)
+				continue
+			}
+			item := keyvalue.Item{Key: StatusKey(id), Value: Encode(entry.Status), Revision: entry.Revision}
+			book.Apply([]keyvalue.Change{{Item: item}}, false)
+		}
+		pending := 0
+		for id, want := range newest {
+			got, ok := book.Get(id)
+			if !ok || got != want {
+				t.Fatalf("%s is %+v, want %+v", id, got, want)
+			}
+			if want.State == progress.Queued {
+				pending++
+			}
+		}
+		if got := book.Pending("p"); got != pending {
+			t.Fatalf("%d pending, want %d", got, pending)
+		}
+	})
+}
