Do not send a start to a worker that has said meanwhile that it leaves

Ruled out: news of workers that comes late (the notice reached the controller before the start left). Change: the start is given up as one that was not sent. TestNoStartOnceDraining fails before.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -342,7 +342,7 @@
 	if worker == nil || worker.runs[placed.task] != placed {
 		return
 	}
-	if placed.stopping || !placed.job.open() || worker.link != placed.link {
+	if placed.stopping || !placed.job.open() || worker.link != placed.link || worker.entry.Draining {
 		loop.endRun(placed, progress.RunLost, "", "not started")
 		return
 	}
