--- a/internal/control/headroom.go
+++ b/internal/control/headroom.go
@@ -11,11 +11,10 @@
 const (
 	// arrivalWindow is how far back urgent arrivals are looked at.
 	arrivalWindow = 8 * time.Second
-	// headroomTime times the accelerators that urgent work asked for in a second is kept free for it. It is about the
-	// time in which displaced work would stop.
-	headroomTime = 1500 * time.Millisecond
+	// headroomTime times the accelerators that urgent work asked for in a second is kept free for it.
+	headroomTime = 2500 * time.Millisecond
 	// headroomShare bounds what is kept free, as a share of a service's accelerators.
-	headroomShare = 0.15
+	headroomShare = 0.25
 )
 
 // arrival is the demand of an urgent job.
