--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -80,9 +80,9 @@
 
 const (
 	// callTimeout bounds one call to the store.
-	callTimeout = time.Second
+	callTimeout = 600 * time.Millisecond
 	// retryPause separates tries while the store refuses calls or does not answer.
-	retryPause = 200 * time.Millisecond
+	retryPause = 150 * time.Millisecond
 )
 
 // Observe notes the revision of the term's key; 0 means that the key does not exist.
