--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,6 +75,8 @@
 	term  *term.Term
 	group *errgroup.Group
 	begun time.Duration
+	// expired is when old jobs were last looked for.
+	expired time.Duration
 
 	events chan func(*dispatcher)
 	jobs   map[fleet.JobID]*job
@@ -361,8 +363,8 @@
 	}
 }
 
-// sweepInterval is how often ended jobs are looked for.
-const sweepInterval = 5 * time.Second
+// expireInterval is how often jobs are looked for that need not be kept any longer.
+const expireInterval = 5 * time.Second
 
 // sweep notices what only time brings: leases that have ended and jobs that need not be kept any longer.
 func (loop *dispatcher) sweep() {
@@ -374,7 +376,8 @@
 			loop.removeWorker(worker)
 		}
 	}
-	if loop.clock()-loop.begun > sweepInterval {
+	if loop.clock()-loop.expired > expireInterval {
+		loop.expired = loop.clock()
 		loop.expire()
 	}
 }
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -353,6 +353,9 @@
 	})
 }
 
+// refusalPause is how long a worker that refused a start gets no other.
+const refusalPause = time.Second
+
 // startAnswered takes the outcome of a start. A refusal proves that the run does not exist only if it answered the
 // first try.
 func (loop *dispatcher) startAnswered(placed *run, token Token, tries int, err error) {
@@ -368,8 +371,12 @@
 	refusal := refusalOf(err)
 	loop.Logger.Warn("start not confirmed", "task", placed.task.String(), "run", int(placed.number),
 		"worker", string(worker.entry.ID), "error", err.Error())
-	if refusal == RefusedUnhealthy {
+	switch refusal {
+	case RefusedUnhealthy:
 		worker.health.until = loop.clock() + quarantine
+	case RefusedRoom, RefusedLate, RefusedInvalid, RefusedTicket:
+		// Without a pause the same start would be decided, stored and refused again and again.
+		worker.health.until = max(worker.health.until, loop.clock()+refusalPause)
 	}
 	switch {
 	case refusal == RefusedToken && !placed.link.stale(err, token):
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -119,6 +119,8 @@
 	RefusedUnhealthy Refusal = "unhealthy"
 	// RefusedLife means that another life of the worker answered.
 	RefusedLife Refusal = "life"
+	// RefusedTicket means that the start lacks a permit for the worker.
+	RefusedTicket Refusal = "ticket"
 	// RefusedInvalid means that the worker cannot read the order.
 	RefusedInvalid Refusal = "invalid"
 )
