End a term whose documents in the store are not its own

Cause: a transaction that failed on a record that this term had not written was tried again at once and for ever, and a record that could not be read made its job start anew. Ruled out: a change of status (that is adopted) and a lost answer (that is recognised by the record's content). Change: such a term ends, and the next one reads everything again; a job whose record cannot be read is left as it is.

--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -28,8 +28,10 @@
 type version struct {
 	job    *job
 	record []byte
-	status *ledger.Status
-	after  []func()
+	// status is written too if it is not nil, on the condition of statusRevision.
+	status         *ledger.Status
+	statusRevision keyvalue.Revision
+	after          []func()
 }
 
 // batch is a transaction with the versions that it stores.
@@ -77,7 +79,7 @@
 		if state.Terminal() {
 			next.Ended = time.Now().UTC()
 		}
-		stored.status = &next
+		stored.status, stored.statusRevision = &next, job.status.Revision
 		key := ledger.StatusKey(job.ID)
 		txn.Conditions = append(txn.Conditions, keyvalue.Condition{Key: key, Revision: job.status.Revision})
 		txn.Writes = append(txn.Writes, keyvalue.Write{Key: key, Value: ledger.Encode(next)})
@@ -154,6 +156,7 @@
 		return
 	}
 	loop.commits--
+	explained := false
 	for _, refused := range batch.versions {
 		job := refused.job
 		job.dirty, job.writing = true, false
@@ -163,6 +166,11 @@
 				loop.adoptStatus(job, ledger.StatusEntry{Status: status, Revision: item.Revision})
 			}
 		}
+		explained = explained || refused.status != nil && job.status.Revision != refused.statusRevision
+	}
+	if !explained {
+		loop.Logger.Error("records are not as this term stored them", "jobs", len(batch.versions))
+		loop.group.Go(func() error { return errDiverged })
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -47,10 +47,13 @@
 // errSucceeded means that another process has taken the term.
 var errSucceeded = errors.New("another process has taken the term")
 
+// errDiverged means that the store holds other documents than this term has written. A new term reads them again.
+var errDiverged = errors.New("the store holds other documents than this term has written")
+
 // Lead schedules until ctx ends or another process has taken the term.
 func (controller *Controller) Lead(ctx context.Context, held *term.Term) {
 	group, ctx := errgroup.WithContext(ctx)
-	loop := newLoop(ctx, controller, held, group)
+	loop := newDispatcher(ctx, controller, held, group)
 	group.Go(loop.run)
 	controller.current.Store(loop)
 	err := group.Wait()
@@ -82,9 +85,10 @@
 	jobs   map[fleet.JobID]*job
 	// statuses holds news of jobs that are not known yet.
 	statuses map[fleet.JobID]ledger.StatusEntry
-	records  map[fleet.JobID]keyvalue.Item
-	workers  map[fleet.WorkerID]*worker
-	claims   map[unitKey]*claim
+	// records holds what the former terms stored of jobs that are not known yet.
+	records map[fleet.JobID]keyvalue.Item
+	workers map[fleet.WorkerID]*worker
+	claims  map[unitKey]*claim
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// commits counts the transactions that are on their way.
@@ -96,7 +100,7 @@
 // eventQueue is how many posted events may wait.
 const eventQueue = 4096
 
-func newLoop(ctx context.Context, controller *Controller, held *term.Term, group *errgroup.Group) *dispatcher {
+func newDispatcher(ctx context.Context, controller *Controller, held *term.Term, group *errgroup.Group) *dispatcher {
 	return &dispatcher{
 		Controller: controller, ctx: ctx, term: held, group: group, begun: controller.Clock(),
 		events: make(chan func(*dispatcher), eventQueue), jobs: map[fleet.JobID]*job{},
@@ -278,20 +282,22 @@
 		added.status = known
 		delete(loop.statuses, accepted.ID)
 	}
-	loop.jobs[accepted.ID] = added
-	loop.arrivals.note(loop.clock(), added)
 	item, ok := loop.records[accepted.ID]
 	delete(loop.records, accepted.ID)
 	if !ok {
+		loop.jobs[accepted.ID] = added
+		loop.arrivals.note(loop.clock(), added)
 		loop.Logger.Info("job taken", "job", string(accepted.ID), "profile", string(accepted.Profile),
 			"waited_ms", time.Since(accepted.Accepted).Milliseconds())
 		return
 	}
 	record, err := ledger.Decode[progress.Record](item)
 	if err != nil || !record.Matches(accepted) {
-		loop.Logger.Error("unreadable record", "key", item.Key)
+		// What has run of the job is not known, so nothing of it may start.
+		loop.Logger.Error("unreadable record, the job stays as it is", "key", item.Key)
 		return
 	}
+	loop.jobs[accepted.ID] = added
 	added.record, added.recordRevision = &record, item.Revision
 	loop.restoreRuns(added)
 	if !added.open() {
