Wake an idle worker's link for an acknowledgement

Cause: found by reading: news of a stored end did not wake the link of an idle worker; only a wake left over from the start made it look. TestEndsAcknowledged guards it; it passed before too. Change: the link is woken; what it does next is split into functions.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -33,9 +33,9 @@
 	settled bool
 	// silent is set while the worker leaves listings unanswered. Then no lease is extended, since the leases that were
 	// granted before must end for certain some time.
-	silent       bool
-	acknowledged int64
-	sent         int64
+	silent bool
+	// acknowledged is the number up to which all ends are stored, and sent the one that the worker was told last.
+	acknowledged, sent int64
 	// listedEnd is the highest number of an end that was listed.
 	listedEnd int64
 }
@@ -101,7 +101,7 @@
 // set changes what the link tells the worker and wakes it when there is something new to tell.
 func (link *link) set(occupied bool, acknowledged int64) {
 	link.mu.Lock()
-	news := occupied && !link.occupied
+	news := occupied && !link.occupied || acknowledged > link.acknowledged
 	link.occupied = occupied
 	link.acknowledged = max(link.acknowledged, acknowledged)
 	link.mu.Unlock()
@@ -134,34 +134,49 @@
 // run extends leases and lists while the worker is occupied, and otherwise only delivers acknowledgements.
 func (link *link) run() {
 	for link.ctx.Err() == nil {
-		link.mu.Lock()
-		order := HoldOrder{Token: link.token}
-		occupied, settled, unsent := link.occupied, link.settled, link.acknowledged > link.sent
-		silent := link.silent
-		if unsent && !silent {
-			// What was acknowledged is not repeated: a worker that has begun a new life meanwhile numbers its ends anew
-			// and would forget those.
-			order.Acknowledged = link.acknowledged
-		}
-		link.mu.Unlock()
-		switch {
-		case silent:
-		case occupied && settled:
-			order.Wait = holdWait
-		case settled && !unsent:
+		if !link.due() {
 			link.rest()
 			continue
-		case settled:
-			_ = lifecycle.Sleep(link.ctx, idleAcknowledge)
-			link.mu.Lock()
-			order.Acknowledged = link.acknowledged
-			link.mu.Unlock()
 		}
-		if occupied && !silent && link.loop.term.MayHold() {
-			order.Deadline = link.deadline()
+		if link.idle() {
+			_ = lifecycle.Sleep(link.ctx, idleAcknowledge)
 		}
-		link.hold(order)
+		link.hold(link.nextOrder())
+	}
+}
+
+// due reports whether there is something to ask or to tell.
+func (link *link) due() bool {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return link.occupied || !link.settled || link.silent || link.acknowledged > link.sent
+}
+
+// idle reports whether only an acknowledgement is to be told.
+func (link *link) idle() bool {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return link.settled && !link.silent && !link.occupied
+}
+
+// nextOrder returns what to ask and to tell now.
+func (link *link) nextOrder() HoldOrder {
+	link.mu.Lock()
+	order := HoldOrder{Token: link.token}
+	occupied := link.occupied && !link.silent
+	if occupied && link.settled {
+		order.Wait = holdWait
+	}
+	if link.acknowledged > link.sent && !link.silent {
+		// What was acknowledged is not repeated: a worker that has begun a new life meanwhile numbers its ends anew and
+		// would forget those.
+		order.Acknowledged = link.acknowledged
+	}
+	link.mu.Unlock()
+	if occupied && link.loop.term.MayHold() {
+		order.Deadline = link.deadline()
 	}
+	return order
 }
 
 func (link *link) rest() {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -85,8 +85,9 @@
 	runs   map[workload.TaskID]*run
 	// reserved is the room kept for units that wait for others to stop.
 	reserved workload.Resources
-	// seen is the highest number of an end that was taken in; stored are those up to which all are stored.
-	seen    int64
+	// seen is the highest number of an end that was taken in.
+	seen int64
+	// unsaved are the numbers of ends that must not be acknowledged yet.
 	unsaved map[int64]bool
 	health  health
 }
