--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -48,10 +48,7 @@
 	Deletes    []string
 }
 
-// Entries is the size of the transaction as the store counts it.
-func (txn Txn) Entries() int { return len(txn.Conditions) + len(txn.Writes) + len(txn.Deletes) }
-
-// MaxEntries bounds the size of a transaction.
+// MaxEntries bounds the conditions, writes and deletes of a transaction together.
 const MaxEntries = 32
 
 // The kinds of failure of a call to the store.
