--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,7 +19,9 @@
 	// LivePrefix covers what every process follows.
 	LivePrefix = "quetzalstall/live/"
 	// TermKey is held by the controller.
-	TermKey      = LivePrefix + "term"
+	TermKey = LivePrefix + "term"
+	// MemberPrefix covers the announcements of entry processes.
+	MemberPrefix = LivePrefix + "member/"
 	statusPrefix = LivePrefix + "status/"
 	// JobPrefix covers accepted jobs.
 	JobPrefix = "quetzalstall/job/"
@@ -27,6 +29,9 @@
 	RecordPrefix = "quetzalstall/record/"
 )
 
+// MemberKey is the key of an entry process's announcement.
+func MemberKey(name string) string { return MemberPrefix + name }
+
 // StatusKey is the key of a job's status.
 func StatusKey(id fleet.JobID) string { return statusPrefix + string(id) }
 
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -67,7 +67,11 @@
 	Storeless time.Duration
 	// Jitter bounds the random pause before a free term is taken.
 	Jitter time.Duration
-	Clock  Clock
+	// Delay returns what this process waits before it takes a free term; nil is no wait.
+	Delay func() time.Duration
+	// Yield reports whether another process should have the term that this one has held for a time; nil is never.
+	Yield func(held time.Duration) bool
+	Clock Clock
 	// Lead runs while this process holds the term, and returns when its context ends.
 	Lead   func(ctx context.Context, term *Term)
 	Logger hclog.Logger
@@ -116,7 +120,7 @@
 			}
 			continue
 		}
-		if err := lifecycle.Sleep(ctx, time.Duration(rand.Int64N(int64(elector.Jitter)+1))); err != nil {
+		if err := lifecycle.Sleep(ctx, elector.pause()); err != nil {
 			break
 		}
 		if holder, _, _ := elector.observed(); holder != 0 {
@@ -131,6 +135,15 @@
 	return ctx.Err()
 }
 
+// pause returns how long this process waits before it takes a free term.
+func (elector *Elector) pause() time.Duration {
+	pause := time.Duration(rand.Int64N(int64(elector.Jitter) + 1))
+	if elector.Delay != nil {
+		pause += elector.Delay()
+	}
+	return pause
+}
+
 // campaign returns the new term, or nil if it was not won.
 func (elector *Elector) campaign(ctx context.Context) *Term {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -182,6 +195,7 @@
 
 // keep renews the term until it ends and returns the reason.
 func (elector *Elector) keep(ctx context.Context, term *Term) string {
+	began := elector.Clock()
 	for {
 		_ = lifecycle.Sleep(ctx, elector.renewalPause(term))
 		if ctx.Err() != nil {
@@ -190,6 +204,9 @@
 		if holder, _, _ := elector.observed(); holder != term.Token {
 			return "the key changed"
 		}
+		if elector.Yield != nil && elector.Yield(elector.Clock()-began) {
+			return "left to another process"
+		}
 		sent := elector.Clock()
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
 		err := elector.Store.KeepAlive(bounded, term.lease)
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -194,3 +194,28 @@
 		}
 	})
 }
+
+// TestLeaveTerm guards the term against staying with a process that has said that another should have it, and against
+// being taken back before the other had its time to take it.
+func TestLeaveTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		small, large := newCandidate(store), newCandidate(store)
+		small.elector.Delay = func() time.Duration { return 300 * time.Millisecond }
+		small.elector.Yield = func(held time.Duration) bool { return held > 5*time.Second }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = small.elector.Run(ctx) }()
+		small.elector.Observe(0)
+		time.Sleep(4 * time.Second)
+		if small.holds() == nil {
+			t.Fatal("the only process does not hold the term")
+		}
+		go func() { _ = large.elector.Run(ctx) }()
+		large.elector.Observe(small.holds().Token)
+		time.Sleep(3 * time.Second)
+		if large.holds() == nil || small.holds() != nil || small.terms != 1 {
+			t.Errorf("large holds %t, small holds %t after %d terms", large.holds() != nil, small.holds() != nil, small.terms)
+		}
+	})
+}
