Leave out slow and failing workers by what they list

Runs stood on hanging workers until those went on (up to 8 s), and a worker that fails everything got more until two jobs in a row had failed there, so that gangs met a second one and lost their last attempt. Ruled out: waiting for room; the urgent jobs concerned were placed within 20 ms. Change: the listed progress of each run is followed by the worker's clock. A run that stands still, or is much slower than itself or its like, accuses its worker, which gets nothing new while no run there is steady; the run goes on elsewhere once that is expected to end sooner. Declared run times count only for several jobs, since some are off by a factor of eight. A worker is left out after its first failed run, for 1.5 s and twice as long each further time, and cleared when the job fails elsewhere too. Runs of a leaving worker are judged by their progress.

--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -104,7 +104,7 @@
 func (worker *worker) dump(now time.Duration) WorkerDump {
 	dump := WorkerDump{
 		ID: worker.entry.ID, Rack: worker.entry.Rack, Listed: worker.present, Settled: worker.settled,
-		Silent: worker.silent, Draining: worker.entry.Draining, Suspect: !worker.health.good(now),
+		Silent: worker.silent, Draining: worker.entry.Draining, Suspect: !worker.health.good(now) || worker.health.doubtful(),
 		Free: worker.entry.Capacity.Sub(worker.taken).Sub(worker.reserved), Runs: []string{},
 	}
 	for id := range worker.runs {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -218,12 +218,13 @@
 	}
 	tasks := job.record.Occurrences[unit.Occurrence].Steps[unit.Step].Tasks
 	number := job.record.Place(unit, locations)
+	far := loop.far(step, places)
 	loop.markDirty(job)
 	for i, index := range unit.Tasks {
 		known := loop.workers[places[i]]
 		placed := &run{
 			task:   workload.TaskID{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index},
-			number: number, job: job, link: known.link, need: step.Need(), since: loop.clock(),
+			number: number, job: job, link: known.link, need: step.Need(), since: loop.clock(), far: far,
 		}
 		known.add(placed)
 		order := StartOrder{
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -13,6 +13,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/term"
 	"github.com/quetzalstall/quetzalstall/pkg/catalog"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -94,3 +95,97 @@
 		test.plan()
 	}
 }
+
+// TestPlanOverload guards the controller against plans whose cost grows with the work that waits times the fleet: such
+// plans used the whole processor of a VM just when most callers waited.
+func TestPlanOverload(t *testing.T) {
+	const (
+		workers = 350
+		waiting = 600
+		// Each waiting step costs a few allocations and each worker some copies, but not one of each pair.
+		mostAllocations = 10 * (workers + waiting*30/2)
+	)
+	test := newTestLoop(t, workers)
+	for i := range waiting {
+		switch i % 6 {
+		case 0:
+			test.submit(2, smallTasks)
+		case 1:
+			test.submit(1, largeGang)
+		default:
+			test.submit(0, urgentGang)
+		}
+	}
+	test.plan()
+	if allocations := testing.AllocsPerRun(3, test.plan); allocations > mostAllocations {
+		t.Errorf("a plan that can place nothing makes %.0f allocations, want at most %d", allocations, mostAllocations)
+	}
+}
+
+// placed counts the placed tasks of a job.
+func placed(job *job) int {
+	count := 0
+	for _, task := range job.record.Occurrences[0].Steps[0].Tasks {
+		if task.Phase == progress.Placed {
+			count++
+		}
+	}
+	return count
+}
+
+// TestPlan guards what one plan decides.
+func TestPlan(t *testing.T) {
+	task := func(tasks, accelerators int) workload.Step {
+		return workload.Step{
+			Tasks: tasks, Each: workload.Resources{Accelerators: fleet.Accelerators(accelerators)}, Estimate: time.Second,
+		}
+	}
+	gang := func(tasks, accelerators int) workload.Step {
+		step := task(tasks, accelerators)
+		step.Gang, step.SameRack = true, true
+		return step
+	}
+	atMost := func(step workload.Step, most int) workload.Step {
+		step.MaxPerWorker = most
+		return step
+	}
+	type submission struct {
+		priority workload.Priority
+		step     workload.Step
+		// placed is how many tasks of it the plan places.
+		placed int
+	}
+	tests := []struct {
+		name    string
+		workers int
+		jobs    []submission
+	}{
+		{"loose tasks fill what is free", 2, []submission{{2, task(20, 1), 16}}},
+		{"a gang is placed whole or not at all", 2, []submission{{1, gang(3, 8), 0}}},
+		{"what needs no more than a missed demand is tried", 1, []submission{{0, gang(2, 8), 0}, {0, gang(1, 8), 1}}},
+		{"what needs more than a missed demand stays", 1, []submission{{0, task(1, 8), 1}, {0, task(1, 8), 0}, {0, gang(2, 8), 0}}},
+		{"room is kept for a gang that waits", 5, []submission{{0, task(4, 5), 4}, {1, gang(2, 8), 0}, {2, task(40, 1), 9}}},
+		{"a bound on one worker leaves room to others", 2, []submission{{1, atMost(task(5, 1), 1), 2}, {1, atMost(task(5, 1), 2), 4}}},
+		{"urgent work goes first", 1, []submission{{2, task(8, 1), 0}, {0, task(8, 1), 8}}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newTestLoop(t, test.workers)
+			var jobs []*job
+			for _, submitted := range test.jobs {
+				jobs = append(jobs, loop.submit(submitted.priority, submitted.step))
+			}
+			loop.plan()
+			for i, submitted := range test.jobs {
+				if got := placed(jobs[i]); got != submitted.placed {
+					t.Errorf("job %d: %d tasks are placed, want %d", i, got, submitted.placed)
+				}
+			}
+			for _, worker := range loop.workers {
+				if !worker.entry.Capacity.Sub(worker.taken).NonNegative() {
+					t.Errorf("%s is over its capacity: %+v", worker.entry.ID, worker.taken)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -82,7 +82,7 @@
 	loop.Logger.Info("worker draining", "worker", string(leaving.entry.ID), "runs", len(leaving.runs),
 		"remaining_ms", leaving.entry.Remaining.Milliseconds())
 	for _, run := range leaving.runs {
-		left := run.step().Estimate - (loop.clock() - run.since)
+		left := run.left(loop.clock())
 		if run.step().Lasting || left > leaving.entry.Remaining+leaveSlack {
 			loop.stopRun(run, "its worker leaves")
 			loop.stopGang(run)
@@ -212,9 +212,7 @@
 			loop.takeUnknownEnd(worker, end, lapsed)
 			continue
 		}
-		if worker.health.note(run.job.ID, end.How, loop.clock()) {
-			loop.Logger.Warn("worker suspect", "worker", string(worker.entry.ID), "until", quarantine.String())
-		}
+		loop.noteEnd(worker, run.job, end.How)
 		// The end is kept from being acknowledged first, since endRun tells the link what to acknowledge.
 		loop.saveEnd(worker, run.job, end.Number)
 		loop.endRun(run, end.How, end.Checkpoint, "listed")
@@ -269,6 +267,7 @@
 // checkRunning compares what a worker lists as running with what should run there.
 func (loop *dispatcher) checkRunning(worker *worker, sent time.Duration, listing Listing) {
 	running := make(map[workload.TaskID]bool, len(listing.Running))
+	verdicts := map[*run]verdict{}
 	for _, status := range listing.Running {
 		running[status.Task] = true
 		known := worker.runs[status.Task]
@@ -277,7 +276,9 @@
 			continue
 		}
 		known.job.record.Checkpointed(known.job.Job, known.task, known.number, status.Checkpoint)
+		verdicts[known] = known.judge(listing.Clock, status.Percent)
 	}
+	loop.actOn(worker, verdicts)
 	if len(listing.Ended) >= maxEnds {
 		return
 	}
@@ -383,9 +384,6 @@
 	})
 }
 
-// refusalPause is how long a worker that refused a start gets no other.
-const refusalPause = time.Second
-
 // startAnswered takes the outcome of a start. A refusal proves that the run does not exist only if it answered the
 // first try.
 func (loop *dispatcher) startAnswered(placed *run, token Token, tries int, err error) {
@@ -403,10 +401,10 @@
 		"worker", string(worker.entry.ID), "error", err.Error())
 	switch refusal {
 	case RefusedUnhealthy:
-		worker.health.until = loop.clock() + quarantine
+		worker.health.pause(loop.clock(), unhealthyPause)
 	case RefusedRoom, RefusedLate, RefusedInvalid, RefusedTicket:
 		// Without a pause the same start would be decided, stored and refused again and again.
-		worker.health.until = max(worker.health.until, loop.clock()+refusalPause)
+		worker.health.pause(loop.clock(), refusalPause)
 	}
 	switch {
 	case refusal == RefusedToken && !placed.link.stale(err, token):
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -22,6 +22,12 @@
 	writing bool
 	// after is what happens once the present version of the record is stored.
 	after []func()
+	// failedOn are the workers on which runs of the job failed in this term.
+	failedOn map[fleet.WorkerID]bool
+	// best is the highest speed that was seen of any run of each kind.
+	best map[runKind]speed
+	// moves counts how often each task was taken off a slow worker in this term.
+	moves map[workload.TaskID]int
 }
 
 // open reports whether tasks of the job may still start.
@@ -64,6 +70,9 @@
 	over atomic.Bool
 	// stopping is set once the run is to end.
 	stopping bool
+	pace     pace
+	// far is set if the run's data or its gang is in another rack, which makes it slower.
+	far bool
 	// checkFrom is the time after which a listing that is asked for must show the run or its end; 0 is unknown.
 	checkFrom time.Duration
 }
@@ -132,38 +141,3 @@
 		worker.link.set(len(worker.runs) > 0, worker.acknowledged())
 	}
 }
-
-// health tells a worker that fails whatever it starts from one that ran a task that fails everywhere.
-type health struct {
-	// failed are the jobs whose runs failed on the worker since the last that did not.
-	failed map[fleet.JobID]bool
-	until  time.Duration
-}
-
-const (
-	// suspectJobs is how many jobs in a row must fail on a worker before it is left out.
-	suspectJobs = 2
-	// quarantine is how long such a worker gets nothing new.
-	quarantine = 6 * time.Second
-)
-
-func (health *health) good(now time.Duration) bool { return now >= health.until }
-
-// note takes the end of a run and reports whether the worker has just become suspect.
-func (health *health) note(id fleet.JobID, how progress.How, now time.Duration) bool {
-	switch how {
-	case progress.RunDone:
-		health.failed = nil
-		return false
-	case progress.RunFailed:
-		if health.failed == nil {
-			health.failed = map[fleet.JobID]bool{}
-		}
-		health.failed[id] = true
-	}
-	if len(health.failed) < suspectJobs {
-		return false
-	}
-	health.failed, health.until = nil, now+quarantine
-	return true
-}
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -75,6 +75,8 @@
 	Task       workload.TaskID
 	Run        progress.RunNumber
 	Checkpoint string
+	// Percent is the part of the task's work that is done.
+	Percent int
 }
 
 // RunEnd is a run that a worker lists as ended.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -23,6 +23,8 @@
 	Reclaimable workload.Resources
 	// Loss is the accelerator time that is thrown away when everything in Reclaimable is displaced.
 	Loss time.Duration
+	// Doubtful workers are taken last.
+	Doubtful bool
 	// Held is the number of tasks of the same occurrence and step on the worker.
 	Held int
 }
@@ -91,7 +93,7 @@
 		if !ok {
 			continue
 		}
-		if slack := spare(members); best == nil || slack < bestSlack {
+		if slack := spare(members) + doubtfulSlack*doubtful(members, places); best == nil || slack < bestSlack {
 			best, bestSlack = places, slack
 		}
 	}
@@ -167,6 +169,27 @@
 	return ordered
 }
 
+// doubtfulSlack makes a rack with doubtful places come after every other.
+const doubtfulSlack = 1 << 16
+
+// doubtful counts the places on doubtful workers.
+func doubtful(candidates []candidate, places []fleet.WorkerID) int {
+	count := 0
+	for _, candidate := range candidates {
+		if candidate.worker.Doubtful && slices.Contains(places, candidate.worker.ID) {
+			count++
+		}
+	}
+	return count
+}
+
+func doubt(worker *Worker) int {
+	if worker.Doubtful {
+		return 1
+	}
+	return 0
+}
+
 // spare is the number of free accelerators in a group.
 func spare(candidates []candidate) int {
 	total := 0
@@ -189,6 +212,7 @@
 		return cmp.Or(
 			// A worker with enough free room comes before one whose tasks would be displaced.
 			cmp.Compare(displaced(a, demand), displaced(b, demand)),
+			cmp.Compare(doubt(a.worker), doubt(b.worker)),
 			cmp.Compare(a.worker.Loss, b.worker.Loss),
 			cmp.Compare(a.room.Accelerators, b.room.Accelerators),
 			cmp.Compare(a.room.Millicores, b.room.Millicores),
