--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -62,6 +62,20 @@
 	return test.dispatcher.jobs[id]
 }
 
+// overload submits far more work than the fleet can run.
+func (test *testLoop) overload(jobs int) {
+	for i := range jobs {
+		switch i % 6 {
+		case 0:
+			test.submit(2, smallTasks)
+		case 1:
+			test.submit(1, largeGang)
+		default:
+			test.submit(0, urgentGang)
+		}
+	}
+}
+
 var (
 	smallTasks = workload.Step{
 		Tasks: 30, Each: workload.Resources{Millicores: 2800, MemoryMiB: 8200, Accelerators: 1}, Estimate: 6 * time.Second,
@@ -79,16 +93,7 @@
 // BenchmarkPlanOverload measures one plan while far more work waits than the fleet can run.
 func BenchmarkPlanOverload(b *testing.B) {
 	test := newTestLoop(b, 350)
-	for i := range 600 {
-		switch i % 6 {
-		case 0:
-			test.submit(2, smallTasks)
-		case 1:
-			test.submit(1, largeGang)
-		default:
-			test.submit(0, urgentGang)
-		}
-	}
+	test.overload(600)
 	test.plan()
 	b.ReportAllocs()
 	for b.Loop() {
@@ -106,16 +111,7 @@
 		mostAllocations = 10 * (workers + waiting*30/2)
 	)
 	test := newTestLoop(t, workers)
-	for i := range waiting {
-		switch i % 6 {
-		case 0:
-			test.submit(2, smallTasks)
-		case 1:
-			test.submit(1, largeGang)
-		default:
-			test.submit(0, urgentGang)
-		}
-	}
+	test.overload(waiting)
 	test.plan()
 	if allocations := testing.AllocsPerRun(3, test.plan); allocations > mostAllocations {
 		t.Errorf("a plan that can place nothing makes %.0f allocations, want at most %d", allocations, mostAllocations)
