Pass requests on to another process while this one does not reach the store

Ruled out: the balancer; it takes such VMs out of rotation, but uses all VMs of a data centre again once fewer than half are left. Change: processes announce an address for each other. One that has lost the store passes a request on unchanged, to the process that served last or to up to three others; one that has lost the store too refuses at once. Only if nobody can have carried the request out does this process answer by itself; a lost answer becomes 504. Trying again elsewhere is safe, since a job's id makes requests idempotent.

--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,220 @@
+// Package relay passes callers' requests on to another entry process while this one does not reach the store, so that a
+// caller whose connection ends here is neither refused nor told an old state.
+package relay
+
+import (
+	"bytes"
+	"context"
+
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
+)
+
+const (
+	// tryTimeout bounds one try at another process.
+	tryTimeout = 700 * time.Millisecond
+	// mostTries is how many processes are tried for one request, so that an answer comes well before callers give up.
+	mostTries = 3
+	// avoidTime is how long a process that did not serve a request is not tried again.
+	avoidTime = 2 * time.Second
+	// maxAnswer bounds an answer, in bytes.
+	maxAnswer = 1 << 20
+)
+
+// Relay serves callers. Its exported fields are set before the first request.
+type Relay struct {
+	// Local serves requests in this process.
+	Local http.Handler
+	// Lost reports whether this process does not reach the store.
+	Lost func() bool
+	// Peers returns the addresses at which other processes serve relayed requests.
+	Peers func() []string
+	// BodyLimit bounds the body of a request, in bytes.
+	BodyLimit func() int64
+	Client    *http.Client
+	Logger    hclog.Logger
+	Metrics   gometrics.Registry
+
+	mu sync.Mutex
+	// serving is the process that served the latest request; one process is kept, so that callers see one view.
+	serving string
+	// avoided tells until when processes are not tried.
+	avoided map[string]time.Time
+}
+
+// ServeHTTP answers one request of a caller.
+func (relay *Relay) ServeHTTP(writer http.ResponseWriter, call *http.Request) {
+	if !relay.Lost() {
+		relay.Local.ServeHTTP(writer, call)
+		return
+	}
+	limit := relay.BodyLimit()
+	body, err := io.ReadAll(io.LimitReader(call.Body, limit+1))
+	if err != nil || int64(len(body)) > limit {
+		call.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), call.Body))
+		relay.Local.ServeHTTP(writer, call)
+		return
+	}
+	found := relay.pass(call, body)
+	relay.note(call, found)
+	switch {
+	case found.answer != nil:
+		found.answer.write(writer)
+	case found.open:
+		// A process may have carried the request out, so that a refusal would not be true.
+		writer.WriteHeader(http.StatusGatewayTimeout)
+	default:
+		call.Body = io.NopCloser(bytes.NewReader(body))
+		relay.Local.ServeHTTP(writer, call)
+	}
+}
+
+// outcome is what became of a relayed request.
+type outcome struct {
+	answer *answer
+	// open is set if a process may have carried the request out without an answer.
+	open bool
+	peer string
+}
+
+// pass tries other processes until one serves the request. If all refuse, this process knows as much as they do. Trying another is safe after a lost answer: all requests are
+// idempotent by the id of their job.
+func (relay *Relay) pass(call *http.Request, body []byte) outcome {
+	var found outcome
+	for _, peer := range relay.candidates() {
+		got, err := relay.try(call, peer, body)
+		switch {
+		case err == nil && !got.refused():
+			relay.keep(peer)
+			return outcome{answer: got, peer: peer}
+		case err != nil && !notSent(err):
+			found.open = true
+		}
+		relay.avoid(peer)
+	}
+	return found
+}
+
+// candidates returns the processes to try: the one that served last, then others in random order.
+func (relay *Relay) candidates() []string {
+	peers := relay.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	now := time.Now()
+	peers = slices.DeleteFunc(peers, func(peer string) bool { return now.Before(relay.avoided[peer]) })
+	if at := slices.Index(peers, relay.serving); at > 0 {
+		peers[0], peers[at] = peers[at], peers[0]
+	}
+	return peers[:min(len(peers), mostTries)]
+}
+
+func (relay *Relay) keep(peer string) {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	relay.serving = peer
+}
+
+func (relay *Relay) avoid(peer string) {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	now := time.Now()
+	if relay.avoided == nil {
+		relay.avoided = map[string]time.Time{}
+	}
+	for known, until := range relay.avoided {
+		if now.After(until) {
+			delete(relay.avoided, known)
+		}
+	}
+	relay.avoided[peer] = now.Add(avoidTime)
+}
+
+func (relay *Relay) try(call *http.Request, peer string, body []byte) (*answer, error) {
+	// The caller may hang up; what was begun for it is finished all the same.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(call.Context()), tryTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+peer+call.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Host = call.Host
+	request.Header = call.Header.Clone()
+	request.Header.Del("Connection")
+	response, err := relay.Client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return nil, err
+	}
+	return &answer{status: response.StatusCode, header: response.Header, content: content}, nil
+}
+
+func (relay *Relay) note(call *http.Request, found outcome) {
+	told := "not_served"
+	fields := []any{"method", call.Method, "path", call.URL.Path, "peer", found.peer}
+	switch {
+	case found.answer != nil:
+		told = "answered"
+		fields = append(fields, "status", found.answer.status)
+	case found.open:
+		told = "unknown"
+	}
+	metrics.Count(relay.Metrics, metrics.Name("relayed_requests", "outcome", told))
+	relay.Logger.Info("request relayed", append(fields, "outcome", told)...)
+}
+
+// notSent reports whether a try failed before a connection was open.
+func notSent(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
+
+// answer is what another process answered.
+type answer struct {
+	status  int
+	header  http.Header
+	content []byte
+}
+
+// refused reports whether the answer says that the process cannot serve the request now.
+func (answer *answer) refused() bool {
+	return answer.status == http.StatusServiceUnavailable || answer.status == http.StatusTooManyRequests
+}
+
+func (answer *answer) write(writer http.ResponseWriter) {
+	for _, name := range []string{"Content-Type", "Allow"} {
+		if value := answer.header.Get(name); value != "" {
+			writer.Header().Set(name, value)
+		}
+	}
+	writer.WriteHeader(answer.status)
+	// A caller that has gone needs no answer.
+	_, _ = writer.Write(answer.content)
+}
+
+// NewPeerHandler serves requests that other processes pass on. A process that does not reach the store refuses them at
+// once and passes nothing on, so that no request goes round in circles.
+func NewPeerHandler(local http.Handler, lost func() bool) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, call *http.Request) {
+		if lost() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		local.ServeHTTP(writer, call)
+	})
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -20,6 +20,8 @@
 type Member struct {
 	Name       string             `json:"name"`
 	DataCentre fleet.DataCentreID `json:"data_centre"`
+	// Address is where the process serves the requests that other processes pass on.
+	Address string `json:"address"`
 	// Processor is the processor time that the process may use, in cores.
 	Processor float64 `json:"processor"`
 }
@@ -152,5 +154,18 @@
 	return false
 }
 
+// Others returns the addresses of the other members.
+func (roster *Roster) Others() []string {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	var addresses []string
+	for name, member := range roster.members {
+		if name != roster.Self.Name && member.Address != "" {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
 // largerFactor is how much more of a processor a member must have to count as larger.
 const largerFactor = 1.25
