Share one test of calls that were not sent, and drop an unused limit

Reclaim is for urgent units only, so the limit of other priorities was never used. Behaviour is unchanged.

--- a/internal/control/reclaim.go
+++ b/internal/control/reclaim.go
@@ -12,10 +12,10 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// reclaim claims room for a unit and stops what occupies it, if that is worth the work that is lost. It reports whether
-// room was claimed.
+// reclaim claims room for an urgent unit and stops what occupies it, if that is worth the work that is lost. It reports
+// whether room was claimed.
 func (planner *planner) reclaim(service *rooms, demand demand, wanted placement.Demand) bool {
-	guaranteed := demand.job.terms.Priority == workload.Urgent && planner.guaranteed(demand.job)
+	guaranteed := planner.guaranteed(demand.job)
 	limit := planner.lossLimit(demand, wanted, guaranteed)
 	for _, gangs := range []bool{false, true} {
 		if gangs && !guaranteed {
@@ -63,12 +63,8 @@
 	return known
 }
 
-const (
-	// urgentLossShare is the work, as a share of its own, that urgent work beyond a guarantee may cost others.
-	urgentLossShare = 0.4
-	// lossShare is the same for work of other priorities.
-	lossShare = 0.15
-)
+// lossShare is the work, as a share of its own, that urgent work beyond a guarantee may cost others.
+const lossShare = 0.4
 
 // lossLimit returns the accelerator time that may be thrown away for a unit; a guarantee is worth any.
 func (planner *planner) lossLimit(demand demand, wanted placement.Demand, guaranteed bool) time.Duration {
@@ -76,11 +72,7 @@
 		return math.MaxInt64
 	}
 	work := demand.step().Estimate * time.Duration(int(max(wanted.Each.Accelerators, 1))*wanted.Tasks)
-	share := lossShare
-	if demand.job.terms.Priority == workload.Urgent {
-		share = urgentLossShare
-	}
-	return time.Duration(share * float64(work))
+	return time.Duration(lossShare * float64(work))
 }
 
 // placeOver places a unit in room that is free or occupied by runs that it may displace.
@@ -139,7 +131,8 @@
 	return !run.stopping && run.job.terms.Priority > priority && (gangs || !run.step().Gang)
 }
 
-// cheapest lists the runs that work of a priority may displace, those that lose least for the room that they free first.
+// cheapest lists the runs that work of a priority may displace: the least urgent first, and of these the ones that lose
+// least.
 func (worker *worker) cheapest(priority workload.Priority, gangs bool, now time.Duration) []*run {
 	var runs []*run
 	for _, run := range worker.runs {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,20 +5,18 @@
 import (
 	"bytes"
 	"context"
-
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
+	"github.com/quetzalstall/quetzalstall/pkg/fault"
 )
 
 const (
@@ -98,7 +96,7 @@
 		case err == nil && !got.refused():
 			relay.keep(peer)
 			return outcome{answer: got, peer: peer}
-		case err != nil && !notSent(err):
+		case err != nil && !fault.NotSent(err):
 			found.open = true
 		}
 		relay.avoid(peer)
@@ -178,12 +176,6 @@
 	relay.Logger.Info("request relayed", append(fields, "outcome", told)...)
 }
 
-// notSent reports whether a try failed before a connection was open.
-func notSent(err error) bool {
-	var failure *net.OpError
-	return errors.As(err, &failure) && failure.Op == "dial"
-}
-
 // answer is what another process answered.
 type answer struct {
 	status  int
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -179,3 +180,10 @@
 	}
 	return New(Internal, "%v", err)
 }
+
+// NotSent reports whether a call over the network failed before a connection was open, which proves that it had no
+// effect.
+func NotSent(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
--- a/pkg/fault/fault_test.go
+++ b/pkg/fault/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"strings"
 	"testing"
@@ -72,3 +73,21 @@
 		}
 	}
 }
+
+// TestNotSent guards refusals that say "not run" against calls that may have reached the other side.
+func TestNotSent(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"no connection", errors.Wrap(&net.OpError{Op: "dial", Err: errors.New("refused")}, "call"), true},
+		{"the connection broke", &net.OpError{Op: "read", Err: errors.New("reset")}, false},
+		{"another error", errors.New("timeout"), false},
+	}
+	for _, test := range tests {
+		if got := NotSent(test.err); got != test.want {
+			t.Errorf("%s: %t, want %t", test.name, got, test.want)
+		}
+	}
+}
