Count renewals of leases when the store is judged lost

Cause: a process that is cut off without a reset noticed it by its watches, which wait up to 2.2 s; until then submissions ended with an open outcome. Ruled out: shorter waits of watches, since each answer is a priced call. Change: the renewals that each process sends every second count too.

--- a/internal/keyvalue/monitor.go
+++ b/internal/keyvalue/monitor.go
@@ -80,3 +80,10 @@
 	monitor.note(ctx, err)
 	return revision, err
 }
+
+// KeepAlive renews a lease. Renewals are frequent and short, so they show early that the store is silent.
+func (monitor *Monitor) KeepAlive(ctx context.Context, lease LeaseID) error {
+	err := monitor.Store.KeepAlive(ctx, lease)
+	monitor.note(ctx, err)
+	return err
+}
