--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
