Never handle a request by an older configuration than a relayed one

Ruled out: the watch of the configuration; it catches up within half a second, as it did before requests were passed on. Change: a process tells the revision by which it handled a relayed request, and refuses one if its own is older than the asking process has shown. The asking process serves by itself only with at least that revision; until then it passes requests on, or refuses them if nobody serves.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +27,11 @@
 	mostTries = 3
 	// avoidTime is how long a process that did not serve a request is not tried again.
 	avoidTime = 2 * time.Second
+	// revisionHeader carries the least revision of the configuration by which a request may be handled, and in an answer
+	// the one by which it was.
+	revisionHeader = "Quetzalstall-Config-Revision"
+	// retryAfter is when callers come back, in seconds.
+	retryAfter = "1"
 	// maxAnswer bounds an answer, in bytes.
 	maxAnswer = 1 << 20
 )
@@ -36,6 +42,8 @@
 	Local http.Handler
 	// Lost reports whether this process does not reach the store.
 	Lost func() bool
+	// Revision returns the revision of the configuration in force in this process.
+	Revision func() int64
 	// Peers returns the addresses at which other processes serve relayed requests.
 	Peers func() []string
 	// BodyLimit bounds the body of a request, in bytes.
@@ -45,6 +53,9 @@
 	Metrics   gometrics.Registry
 
 	mu sync.Mutex
+	// shown is the newest configuration by which a relayed request was handled. This process never handles one by an
+	// older configuration afterwards, also when it reaches the store again and has not heard of the newer one yet.
+	shown int64
 	// serving is the process that served the latest request; one process is kept, so that callers see one view.
 	serving string
 	// avoided tells until when processes are not tried.
@@ -53,7 +64,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, call *http.Request) {
-	if !relay.Lost() {
+	if !relay.Lost() && !relay.behind() {
 		relay.Local.ServeHTTP(writer, call)
 		return
 	}
@@ -61,7 +72,7 @@
 	body, err := io.ReadAll(io.LimitReader(call.Body, limit+1))
 	if err != nil || int64(len(body)) > limit {
 		call.Body = io.NopCloser(io.MultiReader(bytes.NewReader(body), call.Body))
-		relay.Local.ServeHTTP(writer, call)
+		relay.serveHere(writer, call)
 		return
 	}
 	found := relay.pass(call, body)
@@ -74,8 +85,27 @@
 		writer.WriteHeader(http.StatusGatewayTimeout)
 	default:
 		call.Body = io.NopCloser(bytes.NewReader(body))
-		relay.Local.ServeHTTP(writer, call)
+		relay.serveHere(writer, call)
+	}
+}
+
+// serveHere answers by this process, or refuses if its configuration is older than one that callers have seen.
+func (relay *Relay) serveHere(writer http.ResponseWriter, call *http.Request) {
+	if relay.behind() {
+		writer.Header().Set("Retry-After", retryAfter)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
+	relay.Local.ServeHTTP(writer, call)
+}
+
+// behind reports whether callers were shown a newer configuration than that of this process.
+func (relay *Relay) behind() bool { return relay.Revision() < relay.newest() }
+
+func (relay *Relay) newest() int64 {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	return relay.shown
 }
 
 // outcome is what became of a relayed request.
@@ -94,7 +124,7 @@
 		got, err := relay.try(call, peer, body)
 		switch {
 		case err == nil && !got.refused():
-			relay.keep(peer)
+			relay.keep(peer, got.revision)
 			return outcome{answer: got, peer: peer}
 		case err != nil && !fault.NotSent(err):
 			found.open = true
@@ -118,10 +148,10 @@
 	return peers[:min(len(peers), mostTries)]
 }
 
-func (relay *Relay) keep(peer string) {
+func (relay *Relay) keep(peer string, revision int64) {
 	relay.mu.Lock()
 	defer relay.mu.Unlock()
-	relay.serving = peer
+	relay.serving, relay.shown = peer, max(relay.shown, revision)
 }
 
 func (relay *Relay) avoid(peer string) {
@@ -150,6 +180,7 @@
 	request.Host = call.Host
 	request.Header = call.Header.Clone()
 	request.Header.Del("Connection")
+	request.Header.Set(revisionHeader, strconv.FormatInt(max(relay.newest(), relay.Revision()), 10))
 	response, err := relay.Client.Do(request)
 	if err != nil {
 		return nil, err
@@ -159,7 +190,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &answer{status: response.StatusCode, header: response.Header, content: content}, nil
+	revision, err := strconv.ParseInt(response.Header.Get(revisionHeader), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return &answer{status: response.StatusCode, header: response.Header, content: content, revision: revision}, nil
 }
 
 func (relay *Relay) note(call *http.Request, found outcome) {
@@ -181,6 +216,8 @@
 	status  int
 	header  http.Header
 	content []byte
+	// revision is that of the configuration by which the request was handled, or of a newer one.
+	revision int64
 }
 
 // refused reports whether the answer says that the process cannot serve the request now.
@@ -199,14 +236,34 @@
 	_, _ = writer.Write(answer.content)
 }
 
-// NewPeerHandler serves requests that other processes pass on. A process that does not reach the store refuses them at
-// once and passes nothing on, so that no request goes round in circles.
-func NewPeerHandler(local http.Handler, lost func() bool) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, call *http.Request) {
-		if lost() {
-			writer.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		local.ServeHTTP(writer, call)
-	})
+// PeerHandler serves requests that other processes pass on. A process that does not reach the store, or has an older
+// configuration than the other, refuses them at once. It passes nothing on, so that no request goes round in circles.
+type PeerHandler struct {
+	Local    http.Handler
+	Lost     func() bool
+	Revision func() int64
+}
+
+// ServeHTTP answers one request of another process.
+func (peer PeerHandler) ServeHTTP(writer http.ResponseWriter, call *http.Request) {
+	marked := &markedWriter{ResponseWriter: writer, revision: peer.Revision}
+	least, err := strconv.ParseInt(call.Header.Get(revisionHeader), 10, 64)
+	if err != nil || peer.Lost() || peer.Revision() < least {
+		marked.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	peer.Local.ServeHTTP(marked, call)
+}
+
+// markedWriter adds the revision of the configuration to an answer. It is read when the answer is decided, since a
+// refusal may have read a newer configuration first.
+type markedWriter struct {
+	http.ResponseWriter
+	revision func() int64
+}
+
+// WriteHeader writes the status with the revision.
+func (marked *markedWriter) WriteHeader(status int) {
+	marked.Header().Set(revisionHeader, strconv.FormatInt(marked.revision(), 10))
+	marked.ResponseWriter.WriteHeader(status)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -18,9 +19,11 @@
 
 // peers stands in for the network: it answers by the address of each process and counts the tries.
 type peers struct {
-	answers map[string]peer
-	tries   int
-	bodies  []string
+	// revision is that of the configuration of the processes.
+	revision int64
+	answers  map[string]peer
+	tries    int
+	bodies   []string
 }
 
 func (peers *peers) RoundTrip(request *http.Request) (*http.Response, error) {
@@ -37,6 +40,7 @@
 		return nil, errors.New("the connection ended")
 	default:
 		recorded := httptest.NewRecorder()
+		recorded.Header().Set(revisionHeader, strconv.FormatInt(peers.revision, 10))
 		recorded.WriteHeader(int(answer))
 		return recorded.Result(), nil
 	}
@@ -57,6 +61,7 @@
 			}
 			return addresses
 		},
+		Revision:  func() int64 { return 0 },
 		BodyLimit: func() int64 { return 10 }, Client: &http.Client{Transport: peers},
 		Logger: hclog.NewNullLogger(), Metrics: gometrics.NewRegistry(),
 	}
@@ -131,15 +136,68 @@
 	}
 }
 
-// TestPeerHandler guards against requests that go round among processes none of which reaches the store.
-func TestPeerHandler(t *testing.T) {
-	for _, lost := range []bool{false, true} {
-		served := false
-		local := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served = true })
-		recorded := httptest.NewRecorder()
-		NewPeerHandler(local, func() bool { return lost }).ServeHTTP(recorded, httptest.NewRequest(http.MethodGet, "/", nil))
-		if served == lost || (recorded.Code == http.StatusServiceUnavailable) != lost {
-			t.Errorf("lost %t: served %t with %d", lost, served, recorded.Code)
+// TestConfigurationNeverGoesBack guards callers against a configuration that goes back: once a relayed request was
+// handled by a newer one, this process does not serve by its own older one, whether it reaches the store again or nobody
+// else serves.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	peers := &peers{answers: map[string]peer{"a": 200}, revision: 37}
+	lost, own := true, int64(20)
+	relay := newTestRelay(peers, true)
+	relay.Lost, relay.Revision = func() bool { return lost }, func() int64 { return own }
+	steps := []struct {
+		name   string
+		change func()
+		status int
+	}{
+		{"served elsewhere by 37", func() {}, 200},
+		{"the store is back, the configuration is not", func() { lost = false }, 200},
+		{"nobody else serves", func() { peers.answers["a"] = -1 }, http.StatusServiceUnavailable},
+		{"the store is lost again", func() { lost = true }, http.StatusServiceUnavailable},
+		{"the configuration is back", func() { lost, own = false, 37 }, http.StatusTeapot},
+	}
+	for _, step := range steps {
+		step.change()
+		if status, _ := ask(relay, "job"); status != step.status {
+			t.Errorf("%s: status %d, want %d", step.name, status, step.status)
 		}
 	}
 }
+
+// TestPeerHandler guards against requests that go round among processes none of which reaches the store, and against
+// answers by an older configuration than the caller has seen.
+func TestPeerHandler(t *testing.T) {
+	tests := []struct {
+		name   string
+		lost   bool
+		least  string
+		status int
+		// refreshed is the revision that the process reads while it handles the request.
+		refreshed int64
+		told      string
+	}{
+		{"serves", false, "20", http.StatusTeapot, 20, "20"},
+		{"tells what it read meanwhile", false, "20", http.StatusTeapot, 37, "37"},
+		{"has lost the store", true, "20", http.StatusServiceUnavailable, 20, "20"},
+		{"has an older configuration", false, "21", http.StatusServiceUnavailable, 20, "20"},
+		{"a request of somebody else", false, "", http.StatusServiceUnavailable, 20, "20"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			revision := int64(20)
+			handler := PeerHandler{
+				Lost: func() bool { return test.lost }, Revision: func() int64 { return revision },
+				Local: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+					revision = test.refreshed
+					writer.WriteHeader(http.StatusTeapot)
+				}),
+			}
+			call := httptest.NewRequest(http.MethodGet, "/", nil)
+			call.Header.Set(revisionHeader, test.least)
+			recorded := httptest.NewRecorder()
+			handler.ServeHTTP(recorded, call)
+			if told := recorded.Header().Get(revisionHeader); recorded.Code != test.status || told != test.told {
+				t.Errorf("status %d with revision %s, want %d with %s", recorded.Code, told, test.status, test.told)
+			}
+		})
+	}
+}
