--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -116,8 +116,8 @@
 	peer string
 }
 
-// pass tries other processes until one serves the request. If all refuse, this process knows as much as they do. Trying another is safe after a lost answer: all requests are
-// idempotent by the id of their job.
+// pass tries other processes until one serves the request. If all refuse, this process knows as much as they do. Trying
+// another is safe after a lost answer: all requests are idempotent by the id of their job.
 func (relay *Relay) pass(call *http.Request, body []byte) outcome {
 	var found outcome
 	for _, peer := range relay.candidates() {
