Compare the stored head with what was in force before it was read

An edit read the head and then compared it with the revision in force at that later moment. When the watch brought another edit into force between the two, the store counted as regressed and the edit was refused as store_unavailable. The check for a regression in repair had the same order. An accepted edit did not note the head it had just written, so a watch event that came later made the process read the head once more to rule out a regression.

Ruled out: the stand-in store (its reads are in order) and the time-outs of the transport (the fake clock does not advance in the failing runs).

Change: the revision in force is taken before the head is read; an edit whose base advanced during the read reads again. Each read and each write of the head updates the observation unless the watch has changed it meanwhile, so a lagging read cannot hide a newer event either.

--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -116,9 +116,10 @@
 		requested.organisation, written.ref())
 	distributor.offer(written)
 	defer distributor.offer(nil)
-	_, err = distributor.store.Swap(ctx, headKey, following.encode(), stored.revision)
+	revision, err := distributor.store.Swap(ctx, headKey, following.encode(), stored.revision)
 	switch {
 	case err == nil:
+		distributor.advance(stored, &observation{head: following, revision: revision})
 		return distributor.accepted(base, following, requested)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		return distributor.resolve(ctx, base, stored, following, requested)
@@ -132,27 +133,35 @@
 
 // newest reads the head and brings it into force, so that the edit is checked against what it replaces.
 func (distributor *Distributor) newest(ctx context.Context) (*state, *observation, error) {
-	// Asked before the head is read: a revision that a peer holds now is not newer than that head, unless the store
-	// has regressed.
-	best, _ := distributor.highestHeard()
-	stored, err := distributor.readHead(ctx)
-	if err != nil {
-		return nil, nil, unavailable(err)
-	}
-	if newest := max(best.revision, distributor.Revision()); stored.head.Revision < newest {
-		distributor.observe(stored)
-		return nil, nil, unavailable(errors.New("config_store_regressed: the store holds an older configuration"))
-	}
-	if present := distributor.state(); !present.sameAs(stored.head) {
-		if err := distributor.load(ctx, stored); err != nil {
+	for {
+		// Asked before the head is read: a revision that is in force here or at a peer by now is not newer than that
+		// head, unless the store has regressed.
+		best, _ := distributor.highestHeard()
+		known := max(best.revision, distributor.Revision())
+		stored, err := distributor.readHead(ctx)
+		if err != nil {
 			return nil, nil, unavailable(err)
 		}
+		if stored.head.Revision < known {
+			distributor.observe(stored)
+			return nil, nil, unavailable(errors.New("config_store_regressed: the store holds an older configuration"))
+		}
+		var loadErr error
+		if !distributor.state().sameAs(stored.head) {
+			loadErr = distributor.load(ctx, stored)
+		}
+		present := distributor.state()
+		switch {
+		case present.head.Revision > stored.head.Revision:
+			// Another edit came into force since the head was read.
+		case loadErr != nil:
+			return nil, nil, unavailable(loadErr)
+		case !present.sameAs(stored.head):
+			return nil, nil, conflict(present.head.Revision)
+		default:
+			return present, stored, nil
+		}
 	}
-	present := distributor.state()
-	if !present.sameAs(stored.head) {
-		return nil, nil, conflict(present.head.Revision)
-	}
-	return present, stored, nil
 }
 
 // checkResult refuses an edit whose result the fleet cannot satisfy.
@@ -268,7 +277,6 @@
 	if err != nil {
 		return 0, conflict(distributor.Revision())
 	}
-	distributor.observe(stored)
 	if known, ok := stored.head.findEdit(requested.id); ok && known.Sum == requested.sum() {
 		return known.Revision, distributor.load(ctx, stored)
 	}
@@ -285,7 +293,6 @@
 	for ctx.Err() == nil {
 		stored, err := distributor.readHead(ctx)
 		if err == nil && stored.revision != before.revision {
-			distributor.observe(stored)
 			if known, ok := stored.head.findEdit(requested.id); ok && known == following.lastEdit() {
 				return distributor.accepted(base, following, requested)
 			}
--- a/internal/operator/distributor.go
+++ b/internal/operator/distributor.go
@@ -241,18 +241,36 @@
 	}
 }
 
-// readHead reads the head from the store; an absent one is empty.
+// advance replaces an observation by one that was read or written after it. A change that the watch has shown
+// meanwhile stays: it may be newer.
+func (distributor *Distributor) advance(previous, following *observation) {
+	distributor.mu.Lock()
+	defer distributor.mu.Unlock()
+	if distributor.observed != previous {
+		return
+	}
+	distributor.observed = following
+	if previous == nil || previous.revision != following.revision {
+		distributor.signal()
+	}
+}
+
+// readHead reads the head from the store and observes it; an absent one is empty.
 func (distributor *Distributor) readHead(ctx context.Context) (*observation, error) {
+	distributor.mu.Lock()
+	previous := distributor.observed
+	distributor.mu.Unlock()
 	entry, err := distributor.store.Get(ctx, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
-		return &observation{head: &head{}}, nil
-	}
-	if err != nil {
+	read := &observation{head: &head{}, revision: entry.Revision}
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+	case err != nil:
 		return nil, errors.WithMessage(err, "read head")
+	default:
+		if read.head, err = decodeHead(entry.Value); err != nil {
+			return nil, err
+		}
 	}
-	decoded, err := decodeHead(entry.Value)
-	if err != nil {
-		return nil, err
-	}
-	return &observation{head: decoded, revision: entry.Revision}, nil
+	distributor.advance(previous, read)
+	return read, nil
 }
--- a/internal/operator/follow.go
+++ b/internal/operator/follow.go
@@ -105,41 +105,42 @@
 	if distributor.Regressed() {
 		pause(ctx, time.Duration(distributor.Random()*float64(repairSpread)))
 	}
-	// A watch may lag behind a write of this process or of a peer; only a read proves a regression.
+	// A watch may lag behind a write of this process or of a peer; only a read proves a regression of what was in
+	// force before it.
+	present := distributor.state()
 	stored, err := distributor.readHead(ctx)
 	if err != nil {
 		return err
 	}
-	present := distributor.state()
 	if stored.head.Revision >= present.head.Revision {
-		distributor.setRegressed(false, stored)
+		distributor.setRegressed(false, present, stored)
 		return nil
 	}
 	if !distributor.Regressed() {
-		distributor.setRegressed(true, stored)
+		distributor.setRegressed(true, present, stored)
 		return errors.New("config_store_regressed: the store holds an older configuration")
 	}
 	if err := distributor.writeBack(ctx, present, stored.revision); err != nil {
 		return errors.WithMessage(err, "write configuration back")
 	}
+	present = distributor.state()
 	stored, err = distributor.readHead(ctx)
 	if err != nil {
 		return err
 	}
-	distributor.setRegressed(stored.head.Revision < distributor.Revision(), stored)
+	distributor.setRegressed(stored.head.Revision < present.head.Revision, present, stored)
 	return nil
 }
 
-func (distributor *Distributor) setRegressed(regressed bool, stored *observation) {
-	present := distributor.Revision()
+func (distributor *Distributor) setRegressed(regressed bool, present *state, stored *observation) {
 	distributor.mu.Lock()
 	defer distributor.mu.Unlock()
 	if regressed && !distributor.regressed {
 		distributor.count("store_regressed")
-		distributor.Logger.Error("config_store_regressed", "revision", present, "store_revision", stored.head.Revision)
+		distributor.Logger.Error("config_store_regressed", "revision", present.head.Revision,
+			"store_revision", stored.head.Revision)
 	}
 	distributor.regressed = regressed
-	distributor.observed = stored
 	distributor.signal()
 }
 
