Send each order to the life of the worker that it was decided for

Orders read the run's link when their goroutine began. If the worker had begun a new life by then, a start that was decided for the former life was sent to the new one, whose first listing had perhaps shown already that nothing runs there: the room was given to others and the start then arrived. A run that was placed but not sent yet moved to the new life in the same way. A run that was to stop was not stopped in the new life, although its start may have arrived there late.

Ruled out: the stand-in's account of room (it counts runs that have begun and not ended) and the lease (the worker answered all the time).

Change: an order keeps the link that it was decided for; runs that were not sent end as not started when their worker begins a new life; stops are sent to the new life too. The fields of term.Term that tests need are exported.

--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -38,7 +38,7 @@
 		Clock:   func() time.Duration { return test.now },
 		Catalog: func() *catalog.Catalog { return nil }, Logger: hclog.NewNullLogger(), Metrics: gometrics.NewRegistry(),
 	}
-	test.dispatcher = newDispatcher(ctx, controller, &term.Term{Token: 1}, group)
+	test.dispatcher = newDispatcher(ctx, controller, &term.Term{Token: 1, TTL: time.Second, Clock: controller.Clock}, group)
 	for i := range workers {
 		known := newWorker(WorkerEntry{
 			ID: fleet.WorkerID(fmt.Sprintf("w%04d", i)), Incarnation: 1, Service: testService,
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -110,8 +110,8 @@
 }
 
 // beginLife replaces a worker that has started anew. Its token rises, so that orders to the former life that are
-// carried out late are refused. A start may have reached the new life before, so only the first listing with the new
-// token tells that the runs of the former life are lost.
+// carried out late are refused. A start that was sent may have reached the new life before, so only the first listing
+// with the new token tells that the runs of the former life are lost, and a run that is to stop is stopped there too.
 func (loop *dispatcher) beginLife(worker *worker, entry WorkerEntry) {
 	token := worker.link.currentToken() + 1
 	loop.Logger.Info("worker began a new life", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
@@ -119,7 +119,14 @@
 	worker.link.cancel()
 	loop.connect(worker, entry, token, loop.clock()+loop.Foreign)
 	for _, run := range worker.runs {
+		if !run.sent {
+			loop.endRun(run, progress.RunLost, "", "not started: its worker began a new life")
+			continue
+		}
 		run.link, run.checkFrom = worker.link, loop.clock()-1
+		if run.stopping {
+			loop.sendStop(run)
+		}
 	}
 }
 
@@ -360,9 +367,11 @@
 	}
 }
 
+// sendStop orders the life of the worker on which the run is now to stop it.
 func (loop *dispatcher) sendStop(stopped *run) {
+	link := stopped.link
 	loop.group.Go(func() error {
-		stopped.link.stop(stopped)
+		link.stop(stopped)
 		return nil
 	})
 }
@@ -378,8 +387,9 @@
 		return
 	}
 	placed.sent, placed.since = true, loop.clock()
+	link := placed.link
 	loop.group.Go(func() error {
-		placed.link.start(placed, order)
+		link.start(placed, order)
 		return nil
 	})
 }
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -17,37 +17,39 @@
 // Clock returns a steady time since some fixed moment that also counts the time for which the VM was suspended.
 type Clock func() time.Duration
 
-// Term is a period in which this process decides.
+// Term is a period in which this process decides. Its exported fields do not change.
 type Term struct {
 	// Token is the revision at which the term's key was created; a later term has a higher one.
 	Token keyvalue.Revision
-
-	key       string
-	lease     keyvalue.LeaseID
-	ttl       time.Duration
-	storeless time.Duration
-	clock     Clock
-	mu        sync.Mutex
-	renewed   time.Duration
+	// Key is the term's key in the store, and Lease is what keeps it there.
+	Key   string
+	Lease keyvalue.LeaseID
+	// TTL is the lease's time to live, and Storeless how long beyond it the leases of workers may be extended.
+	TTL, Storeless time.Duration
+	Clock          Clock
+
+	mu sync.Mutex
+	// renewed is when the last renewal that succeeded was sent.
+	renewed time.Duration
 }
 
 // Condition holds in the store as long as the term has not ended.
 func (term *Term) Condition() keyvalue.Condition {
-	return keyvalue.Condition{Key: term.key, Revision: term.Token}
+	return keyvalue.Condition{Key: term.Key, Revision: term.Token}
 }
 
 // MayHold reports whether the holder may still extend the leases of workers without contact to the store.
 func (term *Term) MayHold() bool {
-	return term.sinceRenewal() < term.ttl+term.storeless
+	return term.sinceRenewal() < term.TTL+term.Storeless
 }
 
 // Fresh reports whether the store renewed the term within its time to live.
-func (term *Term) Fresh() bool { return term.sinceRenewal() < term.ttl }
+func (term *Term) Fresh() bool { return term.sinceRenewal() < term.TTL }
 
 func (term *Term) sinceRenewal() time.Duration {
 	term.mu.Lock()
 	defer term.mu.Unlock()
-	return term.clock() - term.renewed
+	return term.Clock() - term.renewed
 }
 
 func (term *Term) renew(sent time.Duration) {
@@ -171,13 +173,13 @@
 	}
 	elector.Observe(revision)
 	return &Term{
-		Token: revision, key: elector.Key, lease: lease, ttl: ttl, storeless: elector.Storeless,
-		clock: elector.Clock, renewed: sent,
+		Token: revision, Key: elector.Key, Lease: lease, TTL: ttl, Storeless: elector.Storeless,
+		Clock: elector.Clock, renewed: sent,
 	}
 }
 
 func (elector *Elector) lead(ctx context.Context, term *Term) {
-	elector.Logger.Info("term taken", "token", int64(term.Token), "ttl", term.ttl.String())
+	elector.Logger.Info("term taken", "token", int64(term.Token), "ttl", term.TTL.String())
 	bounded, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -190,7 +192,7 @@
 	cancel()
 	<-done
 	elector.Logger.Info("term ended", "token", int64(term.Token), "reason", reason)
-	elector.revoke(term.lease)
+	elector.revoke(term.Lease)
 }
 
 // keep renews the term until it ends and returns the reason.
@@ -209,7 +211,7 @@
 		}
 		sent := elector.Clock()
 		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		err := elector.Store.KeepAlive(bounded, term.lease)
+		err := elector.Store.KeepAlive(bounded, term.Lease)
 		cancel()
 		switch {
 		case err == nil:
@@ -226,10 +228,10 @@
 const renewalParts = 3
 
 func (elector *Elector) renewalPause(term *Term) time.Duration {
-	if term.sinceRenewal() > term.ttl/2 {
+	if term.sinceRenewal() > term.TTL/2 {
 		return retryPause
 	}
-	return term.ttl / renewalParts
+	return term.TTL / renewalParts
 }
 
 // revoke frees the key early; without it the lease ends by itself.
