Tell from the logs of daemons where the time of jobs went

Cause: an id was traced with grep and sort, and nothing said over many jobs whether they waited for a controller, for room, for displaced runs or for their own work, so changes of policy were chosen by guess.

Change: `quetzalstall trace` reads the decision logs of all daemons. With -job it prints the decisions on one job in order; without, the mean time of each profile's jobs in each phase and what became of all run time.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -45,6 +45,7 @@
 		{"call", "run a request on a target", setupCall},
 		{"status", "tell what is known of a job or a request", setupStatus},
 		{"cancel", "cancel a job", setupCancel},
+		{"trace", "read the logs of daemons: what became of a job, or where the time of all jobs went", setupTrace},
 		{"dump", "print the state of one process", setupDump},
 		{"explain", "tell why a job or an organisation is where it is", setupExplain},
 	}
--- /dev/null
+++ b/internal/joblog/joblog_test.go
@@ -0,0 +1,140 @@
+package joblog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// entry writes a log line some milliseconds after the start.
+func entry(after int, message, fields string) string {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(after) * time.Millisecond)
+	return fmt.Sprintf(`{"@message":%q,"@timestamp":%q,%s}`, message, at.Format(time.RFC3339Nano), fields)
+}
+
+func read(t *testing.T, text string) []Line {
+	t.Helper()
+	lines, err := Read(strings.NewReader(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// Guards against lines that are lost because something stands before them, and against ones of no job that are kept.
+func TestRead(t *testing.T) {
+	tests := []struct {
+		name, text, job string
+	}{
+		{"job", entry(0, "job taken", `"job":"a"`), "a"},
+		{"task", entry(0, "run ended", `"task":"a.0.1.2"`), "a"},
+		{"prefix", "  1.5 vm1 " + entry(0, "job taken", `"job":"a"`), "a"},
+		{"no job", entry(0, "term taken", `"token":1`), ""},
+		{"malformed", `{"@message":"job taken"`, ""},
+		{"plain text", "panic", ""},
+		{"empty", "", ""},
+	}
+	for _, test := range tests {
+		lines := read(t, test.text+"\n")
+		if test.job == "" && len(lines) == 0 {
+			continue
+		}
+		if len(lines) != 1 || string(lines[0].Job) != test.job {
+			t.Errorf("%s: read %v, want one line of job %q", test.name, lines, test.job)
+		}
+	}
+}
+
+// Guards against time of a job that is counted twice, not at all, or in the wrong phase.
+func TestTimeline(t *testing.T) {
+	taken := entry(100, "job taken", `"job":"a","profile":"p","waited_ms":100`)
+	end := func(after int) string { return entry(after, "job state stored", `"job":"a","state":"completed"`) }
+	tests := []struct {
+		name   string
+		lines  []string
+		phases [phases]int
+		runs   map[string]int
+	}{
+		{
+			"plain",
+			[]string{
+				taken, entry(300, "unit placed", `"job":"a","waited_ms":250,"priority":1`),
+				entry(1300, "run ended", `"task":"a.0.0.0","how":"done","ran_ms":1000`), end(1400),
+			},
+			[phases]int{Submitted: 100, Waiting: 200, Running: 1000, Between: 100}, map[string]int{"done": 1000},
+		},
+		{
+			"claim",
+			[]string{
+				taken, entry(400, "room claimed", `"job":"a","step":0`),
+				entry(900, "unit placed", `"job":"a","waited_ms":800,"step":0`),
+				entry(1900, "run ended", `"task":"a.0.0.0","how":"done","ran_ms":1000`), end(1900),
+			},
+			[phases]int{Submitted: 100, Waiting: 300, Claiming: 500, Running: 1000}, map[string]int{"done": 1000},
+		},
+		{
+			"displaced beside another run",
+			[]string{
+				taken, entry(100, "unit placed", `"job":"a","waited_ms":0`),
+				entry(500, "run to stop", `"task":"a.0.0.0","cause":"displaced"`),
+				entry(600, "run ended", `"task":"a.0.0.0","how":"stopped","ran_ms":500`),
+				entry(800, "unit placed", `"job":"a","waited_ms":200`),
+				entry(1100, "run ended", `"task":"a.0.0.1","how":"done","ran_ms":1000`),
+				entry(1800, "run ended", `"task":"a.0.0.0","how":"done","ran_ms":1000`), end(1800),
+			},
+			[phases]int{Submitted: 100, Waiting: 200, Repeating: 500, Running: 1000},
+			map[string]int{"done": 2000, "displaced": 500},
+		},
+		{
+			"failed runs name how they ended",
+			[]string{
+				taken, entry(100, "unit placed", `"job":"a","waited_ms":0`),
+				entry(600, "run ended", `"task":"a.0.0.0","how":"failed","ran_ms":500`), end(700),
+			},
+			[phases]int{Submitted: 100, Repeating: 500, Between: 100}, map[string]int{"failed": 500},
+		},
+	}
+	for _, test := range tests {
+		lines := ByJob(read(t, strings.Join(test.lines, "\n")))["a"]
+		timeline, ok := NewTimeline(lines)
+		if !ok {
+			t.Errorf("%s: no timeline", test.name)
+			continue
+		}
+		total := time.Duration(0)
+		for phase, want := range test.phases {
+			total += timeline.Phases[phase]
+			if got := timeline.Phases[phase].Milliseconds(); got != int64(want) {
+				t.Errorf("%s: %d ms %s, want %d", test.name, got, Phase(phase), want)
+			}
+		}
+		if age := timeline.Ended.Sub(timeline.Submitted); total != age {
+			t.Errorf("%s: phases take %s of %s", test.name, total, age)
+		}
+		for became, want := range test.runs {
+			if got := timeline.Runs[became].Milliseconds(); got != int64(want) || len(timeline.Runs) != len(test.runs) {
+				t.Errorf("%s: %d ms of runs %s, want %d of %v", test.name, got, became, want, timeline.Runs)
+			}
+		}
+	}
+}
+
+// Guards against logs of several daemons that are not put in order, and against jobs without an outcome in the sums.
+func TestSummary(t *testing.T) {
+	first := entry(2000, "job state stored", `"job":"a","state":"completed"`) + "\n" +
+		entry(100, "job taken", `"job":"b","profile":"p","waited_ms":0`)
+	second := entry(1000, "job taken", `"job":"a","profile":"p","waited_ms":500`)
+	summary := Summarize(append(read(t, first), read(t, second)...))
+	if len(summary.Classes) != 1 {
+		t.Fatalf("summary has %d classes, want 1", len(summary.Classes))
+	}
+	totals := summary.Classes[0]
+	if totals.Jobs != 1 || totals.Age != 1500*time.Millisecond || totals.Phases[Submitted] != 500*time.Millisecond {
+		t.Errorf("summary is %+v", totals)
+	}
+	var text strings.Builder
+	if err := summary.Write(&text); err != nil || !strings.Contains(text.String(), "1.5s") {
+		t.Errorf("table is %q, %v", text.String(), err)
+	}
+}
