Let a controller that the store refuses give its term up through another process

Ruled out: a shorter lease (the store grants none) and the time to read the records and to hear the workers (0.07 s together).

The relay removes the header of that message from requests of callers.

--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -73,6 +73,14 @@
 			},
 			[phases]int{Submitted: 100, Waiting: 300, Claiming: 500, Running: 1000}, map[string]int{"done": 1000},
 		},
+		{
+			"taken again by another controller while it waits for room",
+			[]string{
+				taken, entry(600, "job taken", `"job":"a","profile":"p","waited_ms":600`),
+				entry(900, "unit placed", `"job":"a","waited_ms":900`), end(1000),
+			},
+			[phases]int{Submitted: 100, Waiting: 800, Between: 100}, nil,
+		},
 		{
 			"displaced beside another run",
 			[]string{
--- a/internal/joblog/timeline.go
+++ b/internal/joblog/timeline.go
@@ -70,9 +70,12 @@
 				timeline.begin(line.At)
 			}
 		case "job taken":
+			accepted := line.At.Add(-fields.Waited.duration())
+			timeline.begin(accepted)
+			if timeline.Profile == "" {
+				spans = append(spans, span{accepted, line.At, Submitted})
+			}
 			timeline.Profile = fields.Profile
-			timeline.begin(line.At.Add(-fields.Waited.duration()))
-			spans = append(spans, span{line.At.Add(-fields.Waited.duration()), line.At, Submitted})
 		case "room claimed":
 			claimed[fields.Step] = line.At
 		case "unit placed":
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/quetzalstall/quetzalstall/internal/handover"
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
 )
@@ -180,6 +181,7 @@
 	request.Host = call.Host
 	request.Header = call.Header.Clone()
 	request.Header.Del("Connection")
+	handover.Clean(request.Header)
 	request.Header.Set(revisionHeader, strconv.FormatInt(max(relay.newest(), relay.Revision()), 10))
 	response, err := relay.Client.Do(request)
 	if err != nil {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -73,11 +73,16 @@
 	Delay func() time.Duration
 	// Yield reports whether another process should have the term that this one has held for a time; nil is never.
 	Yield func(held time.Duration) bool
-	Clock Clock
+	// GiveUp ends a lease through another process while the store refuses this one; nil means that nothing can.
+	GiveUp func(ctx context.Context, lease keyvalue.LeaseID) error
+	Clock  Clock
 	// Lead runs while this process holds the term, and returns when its context ends.
 	Lead   func(ctx context.Context, term *Term)
 	Logger hclog.Logger
 
+	// rest is how long this process stays out of elections after the term that it has just held.
+	rest time.Duration
+
 	mu      sync.Mutex
 	known   bool
 	holder  keyvalue.Revision
@@ -130,6 +135,8 @@
 		}
 		if term := elector.campaign(ctx); term != nil {
 			elector.lead(ctx, term)
+			_ = lifecycle.Sleep(ctx, elector.rest)
+			elector.rest = 0
 			continue
 		}
 		_ = lifecycle.Sleep(ctx, retryPause)
@@ -198,8 +205,9 @@
 // keep renews the term until it ends and returns the reason.
 func (elector *Elector) keep(ctx context.Context, term *Term) string {
 	began := elector.Clock()
+	refusals := 0
 	for {
-		_ = lifecycle.Sleep(ctx, elector.renewalPause(term))
+		_ = lifecycle.Sleep(ctx, elector.renewalPause(term, refusals))
 		if ctx.Err() != nil {
 			return "stopped"
 		}
@@ -209,26 +217,58 @@
 		if elector.Yield != nil && elector.Yield(elector.Clock()-began) {
 			return "left to another process"
 		}
-		sent := elector.Clock()
-		bounded, cancel := context.WithTimeout(ctx, callTimeout)
-		err := elector.Store.KeepAlive(bounded, term.Lease)
-		cancel()
+		err := elector.renew(ctx, term)
 		switch {
 		case err == nil:
-			term.renew(sent)
+			refusals = 0
 		case errors.Is(err, keyvalue.ErrNotFound):
 			return "the lease ended"
+		case errors.Is(err, keyvalue.ErrRejected):
+			refusals++
+		}
+		switch {
+		case refusals >= mostRefusals && elector.givenUp(ctx, term):
+			// The others take the term first: the store may refuse this process only some calls.
+			elector.rest = term.TTL
+			return "given up through another process"
 		case !term.MayHold():
 			return "no contact to the store"
 		}
 	}
 }
 
+func (elector *Elector) renew(ctx context.Context, term *Term) error {
+	sent := elector.Clock()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := elector.Store.KeepAlive(ctx, term.Lease)
+	if err == nil {
+		term.renew(sent)
+	}
+	return err
+}
+
+// mostRefusals is how many renewals in a row the store refuses before the term is given up. A store that is refusing
+// everyone at its limits also refuses one now and then.
+const mostRefusals = 2
+
+// givenUp reports whether another process has ended the term.
+func (elector *Elector) givenUp(ctx context.Context, term *Term) bool {
+	if elector.GiveUp == nil {
+		return false
+	}
+	err := elector.GiveUp(ctx, term.Lease)
+	if err != nil {
+		elector.Logger.Warn("term not given up", "token", int64(term.Token), "error", err.Error())
+	}
+	return err == nil
+}
+
 // renewalParts is how many renewals fit into the time to live.
 const renewalParts = 3
 
-func (elector *Elector) renewalPause(term *Term) time.Duration {
-	if term.sinceRenewal() > term.TTL/2 {
+func (elector *Elector) renewalPause(term *Term, refusals int) time.Duration {
+	if refusals > 0 || term.sinceRenewal() > term.TTL/2 {
 		return retryPause
 	}
 	return term.TTL / renewalParts
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -118,6 +118,12 @@
 	return candidate.term
 }
 
+func (candidate *candidate) count() int {
+	candidate.mu.Lock()
+	defer candidate.mu.Unlock()
+	return candidate.terms
+}
+
 func newCandidate(store *fakeStore) *candidate {
 	began := time.Now()
 	created := &candidate{}
@@ -219,3 +225,73 @@
 		}
 	})
 }
+
+// TestGiveUp guards against a term that nobody can use until its lease ends, because the store refuses only its holder,
+// and against a holder that gives up while the store refuses everyone or refuses a single call.
+func TestGiveUp(t *testing.T) {
+	tests := []struct {
+		name string
+		// refused is how long the store refuses the holder, and alone whether it still serves another process.
+		refused time.Duration
+		alone   bool
+		terms   int
+	}{
+		{"store refuses the holder", 5 * time.Second, true, 2},
+		{"store refuses everyone", 5 * time.Second, false, 1},
+		{"store refuses one call", 400 * time.Millisecond, true, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{}
+				holder, other := newCandidate(store), newCandidate(store)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				refusing := &refusingStore{Store: store}
+				holder.elector.Store = refusing
+				holder.elector.GiveUp = func(ctx context.Context, lease keyvalue.LeaseID) error {
+					if !test.alone {
+						return keyvalue.ErrRejected
+					}
+					return store.Revoke(ctx, lease)
+				}
+				go func() { _ = holder.elector.Run(ctx) }()
+				holder.elector.Observe(0)
+				time.Sleep(time.Second)
+				if holder.holds() == nil {
+					t.Fatal("the only process does not hold the term")
+				}
+				go func() { _ = other.elector.Run(ctx) }()
+				other.elector.Observe(holder.holds().Token)
+				refusing.refuse(test.refused)
+				time.Sleep(testTTL * 3 / 4)
+				if terms := holder.count() + other.count(); terms != test.terms {
+					t.Errorf("%d terms began before the lease of the first could end, want %d", terms, test.terms)
+				}
+			})
+		})
+	}
+}
+
+// refusingStore refuses renewals until a time.
+type refusingStore struct {
+	keyvalue.Store
+	mu    sync.Mutex
+	until time.Time
+}
+
+func (store *refusingStore) refuse(lasting time.Duration) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	store.until = time.Now().Add(lasting)
+}
+
+func (store *refusingStore) KeepAlive(ctx context.Context, lease keyvalue.LeaseID) error {
+	store.mu.Lock()
+	until := store.until
+	store.mu.Unlock()
+	if time.Now().Before(until) {
+		return keyvalue.ErrRejected
+	}
+	return store.Store.KeepAlive(ctx, lease)
+}
