--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -27,6 +27,8 @@
 type Controller struct {
 	Store   keyvalue.Store
 	Workers Workers
+	// Adviser knows which workers may run the steps of profiles under advice; nil is none.
+	Adviser Adviser
 	// WorkerPrefix covers the entries of workers in the store, and DecodeWorker reads one.
 	WorkerPrefix string
 	DecodeWorker func(keyvalue.Item) (WorkerEntry, error)
@@ -94,6 +96,7 @@
 	unreadable map[fleet.JobID]bool
 	workers    map[fleet.WorkerID]*worker
 	claims     map[unitKey]*claim
+	advice     advice
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// commits counts the transactions that are on their way.
@@ -116,6 +119,7 @@
 		dirty:    map[fleet.JobID]*job{},
 		statuses: map[fleet.JobID]ledger.StatusEntry{}, records: map[fleet.JobID]keyvalue.Item{},
 		unreadable: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{}, claims: map[unitKey]*claim{},
+		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -83,6 +83,7 @@
 // plan starts every unit that fits, the most urgent first.
 func (loop *dispatcher) plan() {
 	loop.updateTerms()
+	loop.forgetEnded()
 	groups := loop.waitingGroups()
 	loop.dropClaims(groups)
 	if len(groups) == 0 {
@@ -229,6 +230,7 @@
 		known.add(placed)
 		order := StartOrder{
 			Task: placed.task, Run: number, Payload: job.Payload, Checkpoint: tasks[index].Checkpoint,
+			Ticket: loop.advice.ticket(demand.stepID(), known, loop.clock()),
 		}
 		job.after = append(job.after, func() { loop.sendStart(placed, order) })
 		known.updateLink()
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -168,6 +168,10 @@
 		return false
 	}
 	wanted := placement.DemandOf(demand.step(), len(demand.unit.Tasks))
+	wanted.Restricted = demand.advised()
+	if planner.awaitsAdvice(service, wanted, demand) {
+		return false
+	}
 	if places, ok := planner.choose(service, wanted, demand); ok {
 		service.take(places, wanted.Each)
 		planner.loop.place(demand, places)
@@ -202,7 +206,7 @@
 	if missed(view.misses, wanted) {
 		return
 	}
-	places, ok := placement.Place(planner.withHeld(view.workers, demand), wanted, placement.ReclaimableRoom, true)
+	places, ok := placement.Place(planner.eligible(view.workers, demand), wanted, placement.ReclaimableRoom, true)
 	if !ok {
 		view.misses = append(view.misses, wanted)
 		return
@@ -227,8 +231,8 @@
 
 // possible reports whether a demand fits near its data and in one rack once enough workers are empty.
 func (planner *planner) possible(service *rooms, wanted placement.Demand, demand demand) bool {
-	if wanted.MaxPerWorker > 0 {
-		return placement.Fits(planner.withHeld(service.all, demand), wanted, placement.EmptyRoom, true)
+	if wanted.MaxPerWorker > 0 || wanted.Restricted {
+		return placement.Fits(planner.eligible(service.all, demand), wanted, placement.EmptyRoom, true)
 	}
 	known, ok := service.possible[wanted]
 	if !ok {
@@ -249,16 +253,17 @@
 	if missed(service.misses[key], wanted) {
 		return nil, false
 	}
-	places, ok := placement.Place(planner.withHeld(workers, demand), wanted, placement.FreeRoom, near)
+	places, ok := placement.Place(planner.eligible(workers, demand), wanted, placement.FreeRoom, near)
 	if !ok {
 		service.misses[key] = append(service.misses[key], wanted)
 	}
 	return places, ok
 }
 
-// withHeld returns the workers with the number of the demand's tasks that each holds or has room claimed for, where the
-// demand bounds these.
-func (planner *planner) withHeld(workers []*placement.Worker, demand demand) []*placement.Worker {
+// eligible returns the workers that may run the demand, with the number of its tasks that each holds or has room claimed
+// for where the demand bounds these.
+func (planner *planner) eligible(workers []*placement.Worker, demand demand) []*placement.Worker {
+	workers = planner.permitted(workers, demand)
 	if demand.step().MaxPerWorker == 0 {
 		return workers
 	}
--- a/internal/control/reclaim.go
+++ b/internal/control/reclaim.go
@@ -79,7 +79,7 @@
 func (planner *planner) placeOver(
 	service *rooms, view *view, demand demand, wanted placement.Demand, gangs bool,
 ) ([]fleet.WorkerID, bool) {
-	workers := planner.withHeld(view.workers, demand)
+	workers := planner.eligible(view.workers, demand)
 	near := placement.Fits(workers, wanted, placement.ReclaimableRoom, true)
 	if !near && planner.possible(service, wanted, demand) {
 		return nil, false
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -412,7 +412,9 @@
 	switch refusal {
 	case RefusedUnhealthy:
 		worker.health.pause(loop.clock(), unhealthyPause)
-	case RefusedRoom, RefusedLate, RefusedInvalid, RefusedTicket:
+	case RefusedTicket:
+		loop.advice.forget(placed.task.StepID(), worker.entry.ID)
+	case RefusedRoom, RefusedLate, RefusedInvalid:
 		// Without a pause the same start would be decided, stored and refused again and again.
 		worker.health.pause(loop.clock(), refusalPause)
 	}
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -47,6 +47,8 @@
 	Run        progress.RunNumber
 	Payload    string
 	Checkpoint string
+	// Ticket is needed where the job's profile is under advice.
+	Ticket Ticket
 	// Deadline is until when the run may go on without a further order.
 	Deadline WorkerClock
 	Token    Token
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,6 +38,14 @@
 	DataRack     fleet.RackID
 	Label        string
 	MaxPerWorker int
+	// Restricted demands fit only on some workers, which the caller selects.
+	Restricted bool
+}
+
+// Single returns the demand of one of the tasks.
+func (demand Demand) Single() Demand {
+	demand.Tasks = 1
+	return demand
 }
 
 // DemandOf returns the demand of n tasks of a step.
@@ -49,13 +57,14 @@
 }
 
 // Needs reports whether every placement of the demand holds one of the other, so that the demand cannot fit where the
-// other does not. Demands that bound the tasks on a worker are compared with none, since they depend on what is there.
+// other does not. Nothing is compared with demands that are restricted or bound the tasks on a worker, since these depend
+// on more than room.
 func (demand Demand) Needs(other Demand) bool {
 	return demand.Tasks >= other.Tasks && demand.Each.Covers(other.Each) &&
 		(demand.SameRack || !other.SameRack) &&
 		(other.DataRack == "" || demand.DataRack == other.DataRack) &&
 		(other.Label == "" || demand.Label == other.Label) &&
-		other.MaxPerWorker == 0
+		other.MaxPerWorker == 0 && !other.Restricted
 }
 
 // Room selects which room of a worker counts.
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -140,6 +140,16 @@
 	// Stretch times the longest chain of work, plus Target, is the completion time that callers aim at.
 	Stretch float64       `json:"stretch,omitempty"`
 	Target  time.Duration `json:"target,omitempty"`
+	Advice  Advice        `json:"advice,omitzero"`
+}
+
+// Advice says that only an adviser knows which workers may run a profile's steps. The zero value is none.
+type Advice struct {
+	// Decision and PerWorker are how long the adviser takes for a question, and more for each worker in it.
+	Decision  time.Duration `json:"decision,omitempty"`
+	PerWorker time.Duration `json:"per_worker,omitempty"`
+	// Validity is how long an answer holds.
+	Validity time.Duration `json:"validity,omitempty"`
 }
 
 // Job is an accepted request to run steps of tasks. It does not change after its acceptance.
@@ -218,6 +228,23 @@
 	return string(id.Job) + "." + strconv.Itoa(id.Occurrence) + "." + strconv.Itoa(id.Step) + "." + strconv.Itoa(id.Index)
 }
 
+// StepID returns the step that the task belongs to.
+func (id TaskID) StepID() StepID {
+	return StepID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step}
+}
+
+// StepID names a step of one occurrence of a job.
+type StepID struct {
+	Job        fleet.JobID
+	Occurrence int
+	Step       int
+}
+
+// String returns the id as job.occurrence.step.
+func (id StepID) String() string {
+	return string(id.Job) + "." + strconv.Itoa(id.Occurrence) + "." + strconv.Itoa(id.Step)
+}
+
 // ParseTaskID reads the form that String writes.
 func ParseTaskID(text string) (TaskID, error) {
 	parts := strings.Split(text, ".")
