Throttle filling work beside serving work

Ruled out: keeping the two apart, which leaves paid processors unused, and a model of how images disturb each other, which changes within seconds (decision 014).

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -29,6 +29,8 @@
 	foreign time.Duration
 	// occupied is set while runs are placed on the worker.
 	occupied bool
+	// shared is set while serving and filling runs are on the worker.
+	shared bool
 	// settled is set once the worker has answered to this link's token.
 	settled bool
 	// silent is set while the worker leaves listings unanswered. Then no lease is extended, since the leases that were
@@ -99,10 +101,10 @@
 }
 
 // set changes what the link tells the worker and wakes it when there is something new to tell.
-func (link *link) set(occupied bool, acknowledged int64) {
+func (link *link) set(occupied, shared bool, acknowledged int64) {
 	link.mu.Lock()
 	news := occupied && !link.occupied || acknowledged > link.acknowledged
-	link.occupied = occupied
+	link.occupied, link.shared = occupied, shared
 	link.acknowledged = max(link.acknowledged, acknowledged)
 	link.mu.Unlock()
 	if news {
@@ -166,6 +168,9 @@
 	occupied := link.occupied && !link.silent
 	if occupied && link.settled {
 		order.Wait = holdWait
+		if link.shared {
+			order.Wait = sharedWait
+		}
 	}
 	if link.acknowledged > link.sent && !link.silent {
 		// What was acknowledged is not repeated: a worker that has begun a new life meanwhile numbers its ends anew and
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -226,6 +226,7 @@
 		placed := &run{
 			task:   workload.TaskID{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index},
 			number: number, job: job, link: known.link, need: step.Need(), since: loop.clock(), far: far,
+			share: fullShare,
 		}
 		known.add(placed)
 		order := StartOrder{
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -137,7 +137,10 @@
 		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation})
 		loop.workers[at.Worker] = known
 	}
-	placed.link = known.link
+	placed.link, placed.share = known.link, unknownShare
+	if placed.fills() {
+		known.sharing.share = takenOverShare
+	}
 	known.add(placed)
 	known.updateLink()
 }
@@ -286,6 +289,7 @@
 		verdicts[known] = known.judge(listing.Clock, status.Percent)
 	}
 	loop.actOn(worker, verdicts)
+	loop.throttle(worker, listing)
 	if len(listing.Ended) >= maxEnds {
 		return
 	}
--- a/internal/control/runs_test.go
+++ b/internal/control/runs_test.go
@@ -31,6 +31,10 @@
 	return 0, nil
 }
 
+func (*recordingWorkers) Throttle(context.Context, WorkerEntry, ThrottleOrder) (WorkerClock, error) {
+	return 0, nil
+}
+
 func (*recordingWorkers) Hold(ctx context.Context, _ WorkerEntry, _ HoldOrder) (Listing, error) {
 	<-ctx.Done()
 	return Listing{}, ctx.Err()
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -75,6 +75,9 @@
 	far bool
 	// checkFrom is the time after which a listing that is asked for must show the run or its end; 0 is unknown.
 	checkFrom time.Duration
+	// share is what the worker was last told that the run may work, and throttling is set while it is told.
+	share      Share
+	throttling bool
 }
 
 func (run *run) step() workload.Step { return run.job.Steps[run.task.Step] }
@@ -99,10 +102,11 @@
 	// unsaved are the numbers of ends that must not be acknowledged yet.
 	unsaved map[int64]bool
 	health  health
+	sharing sharing
 }
 
 func newWorker(entry WorkerEntry) *worker {
-	return &worker{entry: entry, runs: map[workload.TaskID]*run{}, unsaved: map[int64]bool{}}
+	return &worker{entry: entry, runs: map[workload.TaskID]*run{}, unsaved: map[int64]bool{}, sharing: sharing{share: fullShare}}
 }
 
 // add puts a run on the worker.
@@ -138,6 +142,6 @@
 // updateLink tells the link what the worker holds now.
 func (worker *worker) updateLink() {
 	if worker.link != nil {
-		worker.link.set(len(worker.runs) > 0, worker.acknowledged())
+		worker.link.set(len(worker.runs) > 0, worker.shared(), worker.acknowledged())
 	}
 }
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -79,6 +79,9 @@
 	Checkpoint string
 	// Percent is the part of the task's work that is done.
 	Percent int
+	// Load is the tail of the response times of a run that serves, in milliseconds, and of another one the processor
+	// that it uses, in thousandths of a core.
+	Load int
 }
 
 // RunEnd is a run that a worker lists as ended.
@@ -104,6 +107,7 @@
 	Start(ctx context.Context, worker WorkerEntry, order StartOrder) (WorkerClock, error)
 	Stop(ctx context.Context, worker WorkerEntry, order StopOrder) (WorkerClock, error)
 	Hold(ctx context.Context, worker WorkerEntry, order HoldOrder) (Listing, error)
+	Throttle(ctx context.Context, worker WorkerEntry, order ThrottleOrder) (WorkerClock, error)
 }
 
 // Refusal is why a worker refused an order.
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -99,6 +99,8 @@
 	Lasting bool `json:"lasting,omitempty"`
 	// Fills marks tasks whose processor need is not counted against the capacity of a worker.
 	Fills bool `json:"fills,omitempty"`
+	// TailTarget is what the tail of the response times of a lasting task must stay below; 0 is no target.
+	TailTarget time.Duration `json:"tail_target,omitempty"`
 	// MayMiss is the number of lasting tasks that the scheduler may keep away at a time.
 	MayMiss int `json:"may_miss,omitempty"`
 }
