--- a/internal/control/advice.go
+++ b/internal/control/advice.go
@@ -180,13 +180,13 @@
 		defer cancel()
 		tickets, err := loop.Adviser.Advise(ctx, step, ids)
 		until := now + cmp.Or(tickets.Validity, terms.Validity) - adviceSlack
-		loop.post(func(loop *dispatcher) { loop.advised(step, lives, tickets.Of, until, err) })
+		loop.post(func(loop *dispatcher) { loop.takeAdvice(step, lives, tickets.Of, until, err) })
 		return nil
 	})
 }
 
-// advised takes the adviser's answer. Tickets are counted from the time of the question, which is before they began.
-func (loop *dispatcher) advised(
+// takeAdvice takes the adviser's answer. Tickets are counted from the time of the question, which is before they began.
+func (loop *dispatcher) takeAdvice(
 	step workload.StepID, lives map[fleet.WorkerID]progress.Incarnation, tickets map[fleet.WorkerID]Ticket,
 	until time.Duration, err error,
 ) {
