--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -24,6 +24,8 @@
 		{"missing id", []string{"submit", "-profile", "p"}, exitUsage, "needs -job"},
 		{"both subjects", []string{"status", "-job", "a", "-request", "b"}, exitUsage, "needs -job or -request"},
 		{"no file", []string{"check"}, exitUsage, "needs files"},
+		{"trace without logs", []string{"trace"}, exitUsage, "name the log files"},
+		{"trace of a missing log", []string{"trace", "does-not-exist.log"}, exitFailed, "does-not-exist.log"},
 		{"explain without subject", []string{"explain"}, exitUsage, "needs ORGANISATION"},
 	}
 	for _, test := range tests {
@@ -58,6 +60,37 @@
 	}
 }
 
+// Guards against a trace that leaves out one of the logs or shows lines of another job.
+func TestTrace(t *testing.T) {
+	folder := t.TempDir()
+	first, second := filepath.Join(folder, "vm0.log"), filepath.Join(folder, "vm1.log")
+	write(t, first, `{"@message":"job state stored","@timestamp":"2026-01-01T00:00:02Z","job":"a","state":"completed"}
+{"@message":"job taken","@timestamp":"2026-01-01T00:00:00Z","job":"b","profile":"p","waited_ms":0}
+`)
+	write(t, second, `{"@message":"job taken","@timestamp":"2026-01-01T00:00:01Z","job":"a","profile":"p","waited_ms":0}
+`)
+	tests := []struct {
+		name         string
+		args         []string
+		code         int
+		want, absent string
+	}{
+		{"job", []string{"trace", "-job", "a", first, second}, exitOK, "1.000 s  {\"@message\":\"job state stored\"", `"b"`},
+		{"all jobs", []string{"trace", first, second}, exitOK, "completed", ""},
+		{"unknown job", []string{"trace", "-job", "c", first, second}, exitFailed, "no line of these logs", ""},
+	}
+	for _, test := range tests {
+		var out bytes.Buffer
+		code := Main(context.Background(), test.args, &out, &out)
+		if code != test.code || !strings.Contains(out.String(), test.want) {
+			t.Errorf("%s: exit code %d and output %q, want %d and %q", test.name, code, out.String(), test.code, test.want)
+		}
+		if test.absent != "" && strings.Contains(out.String(), test.absent) {
+			t.Errorf("%s: output %q has %q", test.name, out.String(), test.absent)
+		}
+	}
+}
+
 func write(t *testing.T, path, text string) {
 	t.Helper()
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
