--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -43,9 +43,8 @@
 	How      progress.How `json:"how"`
 	Cause    string       `json:"cause"`
 	Waited   milliseconds `json:"waited_ms"`
-	Age      milliseconds `json:"age_ms"`
 	Ran      milliseconds `json:"ran_ms"`
-	Priority *int         `json:"priority"`
+	Priority int          `json:"priority"`
 	Step     int          `json:"step"`
 }
 
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -138,6 +138,9 @@
 		t.Fatalf("summary has %d classes, want 1", len(summary.Classes))
 	}
 	totals := summary.Classes[0]
+	if totals.Priority != unplaced {
+		t.Errorf("a job that was never placed has priority %d", totals.Priority)
+	}
 	if totals.Jobs != 1 || totals.Age != 1500*time.Millisecond || totals.Phases[Submitted] != 500*time.Millisecond {
 		t.Errorf("summary is %+v", totals)
 	}
--- a/internal/joblog/timeline.go
+++ b/internal/joblog/timeline.go
@@ -38,7 +38,7 @@
 type Timeline struct {
 	Job     fleet.JobID
 	Profile string
-	// Priority is that of its first placement; 0 is the most urgent one.
+	// Priority is that of its first placement, and unplaced before; 0 is the most urgent one.
 	Priority int
 	// State is the last one that was stored; empty if none was.
 	State     string
@@ -49,6 +49,9 @@
 	Runs map[string]time.Duration
 }
 
+// unplaced is the priority of a job that no line shows to be placed.
+const unplaced = -1
+
 // span is a part of a job's life in one phase.
 type span struct {
 	from, to time.Time
@@ -58,7 +61,7 @@
 // NewTimeline derives the timeline of a job from its lines, which are sorted by time. It reports false for a job that
 // no line shows to be accepted.
 func NewTimeline(lines []Line) (*Timeline, bool) {
-	timeline := &Timeline{Job: lines[0].Job, Runs: map[string]time.Duration{}}
+	timeline := &Timeline{Job: lines[0].Job, Priority: unplaced, Runs: map[string]time.Duration{}}
 	var spans []span
 	claimed := map[int]time.Time{}
 	causes := map[string]string{}
@@ -79,8 +82,8 @@
 		case "room claimed":
 			claimed[fields.Step] = line.At
 		case "unit placed":
-			if fields.Priority != nil && timeline.Priority == 0 {
-				timeline.Priority = *fields.Priority
+			if timeline.Priority == unplaced {
+				timeline.Priority = fields.Priority
 			}
 			ready, found := line.At.Add(-fields.Waited.duration()), line.At
 			if since, ok := claimed[fields.Step]; ok && since.After(ready) {
