--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -80,9 +80,6 @@
 	Lead   func(ctx context.Context, term *Term)
 	Logger hclog.Logger
 
-	// rest is how long this process stays out of elections after the term that it has just held.
-	rest time.Duration
-
 	mu      sync.Mutex
 	known   bool
 	holder  keyvalue.Revision
@@ -134,9 +131,10 @@
 			continue
 		}
 		if term := elector.campaign(ctx); term != nil {
-			elector.lead(ctx, term)
-			_ = lifecycle.Sleep(ctx, elector.rest)
-			elector.rest = 0
+			if elector.lead(ctx, term) == givenUp {
+				// The others take the term first: the store may refuse this process only some calls.
+				_ = lifecycle.Sleep(ctx, term.TTL)
+			}
 			continue
 		}
 		_ = lifecycle.Sleep(ctx, retryPause)
@@ -185,7 +183,8 @@
 	}
 }
 
-func (elector *Elector) lead(ctx context.Context, term *Term) {
+// lead holds a term until it ends and returns the reason.
+func (elector *Elector) lead(ctx context.Context, term *Term) string {
 	elector.Logger.Info("term taken", "token", int64(term.Token), "ttl", term.TTL.String())
 	bounded, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
@@ -199,9 +198,15 @@
 	cancel()
 	<-done
 	elector.Logger.Info("term ended", "token", int64(term.Token), "reason", reason)
-	elector.revoke(term.Lease)
+	if reason != givenUp {
+		elector.revoke(term.Lease)
+	}
+	return reason
 }
 
+// givenUp is the reason for the end of a term whose lease another process has ended.
+const givenUp = "given up through another process"
+
 // keep renews the term until it ends and returns the reason.
 func (elector *Elector) keep(ctx context.Context, term *Term) string {
 	began := elector.Clock()
@@ -227,10 +232,8 @@
 			refusals++
 		}
 		switch {
-		case refusals >= mostRefusals && elector.givenUp(ctx, term):
-			// The others take the term first: the store may refuse this process only some calls.
-			elector.rest = term.TTL
-			return "given up through another process"
+		case refusals >= mostRefusals && elector.giveUp(ctx, term):
+			return givenUp
 		case !term.MayHold():
 			return "no contact to the store"
 		}
@@ -252,8 +255,8 @@
 // everyone at its limits also refuses one now and then.
 const mostRefusals = 2
 
-// givenUp reports whether another process has ended the term.
-func (elector *Elector) givenUp(ctx context.Context, term *Term) bool {
+// giveUp reports whether another process has ended the term.
+func (elector *Elector) giveUp(ctx context.Context, term *Term) bool {
 	if elector.GiveUp == nil {
 		return false
 	}
