--- a/internal/target/bench_test.go
+++ b/internal/target/bench_test.go
@@ -5,15 +5,18 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/knownred"
 	"github.com/quetzalstall/quetzalstall/internal/peer"
+	"github.com/quetzalstall/quetzalstall/internal/standin/network"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/target"
 	"github.com/quetzalstall/quetzalstall/pkg/api/callerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -45,15 +48,41 @@
 	call   func(id string) error
 }
 
-func startTargets(t testing.TB) ([]*standin.Target, *standin.Record) {
+// carrier is the network between a path and its targets.
+type carrier struct {
+	listen func(address string) (net.Listener, error)
+	dial   dialFunc
+}
+
+// loopback returns the carrier of the machine's own loopback addresses.
+func loopback() carrier {
+	return carrier{
+		listen: func(string) (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") },
+		dial:   (&net.Dialer{}).DialContext,
+	}
+}
+
+// inMemory returns a carrier without sockets, which works with a fake clock.
+func inMemory() carrier {
+	memory := network.New()
+	return carrier{
+		listen: func(address string) (net.Listener, error) { return memory.Listen(address), nil },
+		dial:   memory.Dial,
+	}
+}
+
+func startTargets(t testing.TB, carrier carrier) ([]*standin.Target, *standin.Record) {
 	record := standin.NewRecord()
 	var targets []*standin.Target
 	for i := range benchTargets {
-		target, err := standin.New(fleet.TargetID(fmt.Sprintf("target-%d", i)), benchSlots, 60)
+		id := fmt.Sprintf("target-%d", i)
+		listener, err := carrier.listen(id + ":80")
 		if err != nil {
 			t.Fatal(err)
 		}
-		target.Record = record
+		target := &standin.Target{
+			ID: fleet.TargetID(id), Slots: benchSlots, Connections: 60, Record: record, Listener: listener,
+		}
 		target.Start()
 		t.Cleanup(target.Close)
 		targets = append(targets, target)
@@ -62,11 +91,11 @@
 }
 
 // newDirectPath returns the path of a plain HTTP/2 client that spreads its requests over the targets.
-func newDirectPath(t testing.TB) *path {
-	targets, record := startTargets(t)
+func newDirectPath(t testing.TB, carrier carrier) *path {
+	targets, record := startTargets(t, carrier)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{Protocols: protocols}
+	transport := &http.Transport{Protocols: protocols, DialContext: carrier.dial}
 	t.Cleanup(transport.CloseIdleConnections)
 	client := &http.Client{Transport: transport}
 	var next atomic.Int64
@@ -91,15 +120,15 @@
 }
 
 // newRoutedPath returns the path through a Router.
-func newRoutedPath(t testing.TB) *path {
-	targets, record := startTargets(t)
+func newRoutedPath(t testing.TB, carrier carrier) *path {
+	targets, record := startTargets(t, carrier)
 	var list []fleet.Target
 	for _, target := range targets {
 		list = append(list, target.FleetTarget(testService, "ngara"))
 	}
 	router := &Router{
 		View: soleView{}, Configs: testConfig("reed"), Targets: func() []fleet.Target { return list },
-		DataCentre: "ngara", DefaultRequestTime: testRequestTime,
+		DataCentre: "ngara", DefaultRequestTime: testRequestTime, Dial: carrier.dial,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -168,31 +197,35 @@
 
 // Guards against a request path that allocates more than 1.5 times as much as a direct call, or whose goroutines or
 // connections grow with the number of calls. The ratio of the times is checked in BenchmarkRequestPath instead, because
-// the race detector would distort the times in this test.
+// the race detector would distort the times in this test. The test runs on a fake clock, because a process that is
+// suspended for longer than quietTimeout counts its connections as quiet and opens others.
 func TestRequestPathCost(t *testing.T) {
 	for _, callers := range []int{1, 100, 1000} {
 		t.Run(fmt.Sprint(callers), func(t *testing.T) {
 			knownred.SkipIfListed(t)
-			directPath, routedPath := newDirectPath(t), newRoutedPath(t)
-			directPath.run(t, callers, 1000)
-			routedPath.run(t, callers, 1000)
-			goroutines := runtime.NumGoroutine()
-			direct := directPath.run(t, callers, 2000)
-			routed := routedPath.run(t, callers, 2000)
-			if ratio := routed.allocations / direct.allocations; ratio > maxCostRatio {
-				t.Errorf("%.0f allocations per routed call, %.2f times those of a direct call",
-					routed.allocations, ratio)
-			}
-			if left := awaitGoroutines(goroutines); left > goroutines {
-				t.Errorf("%d goroutines after 2,000 calls, want at most %d as before", left, goroutines)
-			}
-			if routed.connections != benchTargets {
-				t.Errorf("%d connections opened to %d targets, want one each", routed.connections, benchTargets)
-			}
+			synctest.Test(t, func(t *testing.T) { checkRequestPathCost(t, callers) })
 		})
 	}
 }
 
+func checkRequestPathCost(t *testing.T, callers int) {
+	directPath, routedPath := newDirectPath(t, inMemory()), newRoutedPath(t, inMemory())
+	directPath.run(t, callers, 1000)
+	routedPath.run(t, callers, 1000)
+	goroutines := runtime.NumGoroutine()
+	direct := directPath.run(t, callers, 2000)
+	routed := routedPath.run(t, callers, 2000)
+	if ratio := routed.allocations / direct.allocations; ratio > maxCostRatio {
+		t.Errorf("%.0f allocations per routed call, %.2f times those of a direct call", routed.allocations, ratio)
+	}
+	if left := awaitGoroutines(goroutines); left > goroutines {
+		t.Errorf("%d goroutines after 2,000 calls, want at most %d as before", left, goroutines)
+	}
+	if routed.connections != benchTargets {
+		t.Errorf("%d connections opened to %d targets, want one each", routed.connections, benchTargets)
+	}
+}
+
 // BenchmarkRequestPath fails if the mean time of a routed call exceeds maxCostRatio times that of a direct call. It
 // alternates between routed and direct calls and uses the best of several rounds for each, so that a pause of the
 // machine affects neither mean time.
@@ -200,7 +233,7 @@
 	const rounds = 7
 	for _, callers := range []int{1, 100, 1000} {
 		b.Run(fmt.Sprint(callers), func(b *testing.B) {
-			paths := []*path{newDirectPath(b), newRoutedPath(b)}
+			paths := []*path{newDirectPath(b, loopback()), newRoutedPath(b, loopback())}
 			best := make([]cost, len(paths))
 			for b.Loop() {
 				for round := range rounds {
--- a/internal/target/faults_test.go
+++ b/internal/target/faults_test.go
@@ -117,6 +117,24 @@
 	}
 }
 
+// Guards against an attempt for a caller whose context has ended while no goroutine has abandoned the task yet: the
+// caller is told that the request did not run.
+func TestNoAttemptOnceTheCallerHasLeft(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	made := newTask("reed", newCall("a", "write", ""), &profile.Profile{}, time.Now())
+	made.callerErr = ctx.Err
+	cancel()
+	if made.startAttempt() {
+		t.Error("an attempt starts although the caller has left")
+	}
+	if !made.isCallerGone() {
+		t.Error("the caller does not count as gone")
+	}
+	if !made.abandon() {
+		t.Error("the request counts as one that may have run")
+	}
+}
+
 // The ledger is the history of request ids at their home. Guards against a full ledger that drops an id while a copy of
 // the request may still arrive, because the copy would run a second time. Also guards against held answers of unbounded
 // size.
--- a/internal/target/forward.go
+++ b/internal/target/forward.go
@@ -183,6 +183,7 @@
 		router.countRefusal(fault.Draining)
 		return router.refusePeer(request, fault.New(fault.Draining, "the process is stopping")), nil
 	}
+	task.callerErr = ctx.Err
 	run := router.runAsHome
 	if !request.GetAsHome() {
 		task.forwarded = true
--- a/internal/target/router.go
+++ b/internal/target/router.go
@@ -185,6 +185,7 @@
 		router.countRefusal(problem.Kind)
 		return uncheckedRefusal(call, problem)
 	}
+	task.callerErr = ctx.Err
 	if !router.trackInFlight() {
 		router.countRefusal(fault.Draining)
 		return uncheckedRefusal(call, fault.New(fault.Draining, "the process is stopping"))
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -40,6 +40,9 @@
 	// wasQueued is set once the task has been in the queue. Only the goroutine that runs the task uses it.
 	wasQueued bool
 
+	// callerErr returns an error once the caller no longer waits, which may be before callerGone is closed; nil if the
+	// caller's context is not known.
+	callerErr func() error
 	// callerGone is closed when the caller no longer waits.
 	callerGone chan struct{}
 	// done is closed when response is set.
@@ -71,11 +74,14 @@
 	return string(id) + "/" + string(request)
 }
 
-// startAttempt marks the task as sent. It returns false if the caller has withdrawn the task; the task must then not be
-// sent.
+// startAttempt marks the task as sent. It returns false if the caller has withdrawn the task, or has left before the
+// task was sent; the task must then not be sent.
 func (task *task) startAttempt() bool {
 	task.mu.Lock()
 	defer task.mu.Unlock()
+	if task.phase == phaseWaiting && task.callerLeft() {
+		task.phase = phaseWithdrawn
+	}
 	if task.phase == phaseWithdrawn {
 		return false
 	}
@@ -114,12 +120,16 @@
 	task.mayHaveRun = true
 }
 
+// callerLeft reports whether the caller's context has ended. The context can end before abandon is called, because
+// another goroutine waits for it.
+func (task *task) callerLeft() bool { return task.callerErr != nil && task.callerErr() != nil }
+
 func (task *task) isCallerGone() bool {
 	select {
 	case <-task.callerGone:
 		return true
 	default:
-		return false
+		return task.callerLeft()
 	}
 }
 
