Keep workers that fail what they start out of use, and blame fewer jobs wrongly

Causes: - A job that failed on two workers was blamed, and the workers were free again at once. A job of 38 tasks meets two of 52 failing workers in its first second. - A run that had started before the failure cleared the worker when it was done. - After its pause a worker got any work, gangs and last attempts included.

Ruled out: longer pauses alone (the pauses were cleared, not too short), and trying only workers that had just done a run (tried earlier; those clear themselves).

Change: pkg/workerhealth judges workers and jobs. Only a run that started after the failure clears a worker; runs that failed together count once; a job is blamed only if it fails on more workers than it survives on. After its pause a worker is on probation: one single task that has not failed before, until a run survives there. Units that have failed are placed on proven workers first.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -369,7 +369,7 @@
 	for id, task := range job.placed() {
 		restored := &run{
 			task: id, number: task.Run, job: job, need: job.Steps[id.Step].Need(), startedAt: loop.clock(),
-			startSent: true, listedAfter: loop.started - 1,
+			startSent: true, restored: true, listedAfter: loop.started - 1,
 		}
 		loop.addRestored(restored, task.At)
 	}
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -104,7 +104,7 @@
 	dump := WorkerDump{
 		ID: worker.entry.ID, Rack: worker.entry.Rack, Listed: worker.listed, Settled: worker.settled,
 		Silent: worker.unresponsive, Draining: worker.entry.Draining,
-		Suspect: !worker.health.available(now) || worker.health.unreliable(),
+		Suspect: !worker.health.Available(now) || worker.health.Unreliable(),
 		Free:    worker.entry.Capacity.Sub(worker.used).Sub(worker.reserved), Runs: []string{},
 	}
 	for id := range worker.runs {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -72,6 +72,12 @@
 
 func (candidate candidate) step() workload.Step { return candidate.job.Steps[candidate.unit.Step] }
 
+// failures returns the number of failed runs of the unit.
+func (candidate candidate) failures() int {
+	step := candidate.job.record.Occurrences[candidate.unit.Occurrence].Steps[candidate.unit.Step]
+	return step.Tasks[candidate.unit.Tasks[0]].Failures
+}
+
 // key identifies the unit by the id of its first task.
 func (candidate candidate) key() workload.TaskID {
 	return workload.TaskID{
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -25,6 +25,9 @@
 // servicePool is the set of usable workers of one service with their free capacity.
 type servicePool struct {
 	all []*placement.Worker
+	// onProbation are the workers that get one task at a time, because runs failed there; see workerhealth. They are not
+	// in all.
+	onProbation []*placement.Worker
 	// unprotected are the workers that jobs of every priority may use. The remaining workers in all are headroom: they
 	// are kept free for urgent jobs.
 	unprotected []*placement.Worker
@@ -83,11 +86,17 @@
 		}
 		entry := worker.entry
 		pool := planner.pool(entry.Service)
-		pool.all = append(pool.all, &placement.Worker{
+		usable := &placement.Worker{
 			ID: id, Rack: entry.Rack, Labels: entry.Labels, Capacity: entry.Capacity,
 			Free:       entry.Capacity.Sub(worker.used).Sub(worker.reserved),
-			Unreliable: worker.health.unreliable(),
-		})
+			Unreliable: worker.health.Unreliable(), Proven: worker.health.Proven(planner.now),
+		}
+		switch {
+		case !worker.health.OnProbation(planner.now):
+			pool.all = append(pool.all, usable)
+		case !worker.onTrial():
+			pool.onProbation = append(pool.onProbation, usable)
+		}
 	}
 	loop.arrivals.expire(planner.now)
 	for name, pool := range planner.pools {
@@ -183,6 +192,7 @@
 	}
 	wanted := placement.DemandOf(candidate.step(), len(candidate.unit.Tasks))
 	wanted.Restricted = candidate.advised()
+	wanted.PreferProven = candidate.failures() > 0
 	if planner.awaitsAdvice(pool, wanted, candidate) {
 		return false
 	}
@@ -191,6 +201,9 @@
 		planner.loop.place(candidate, places)
 		return true
 	}
+	if planner.startOnTrial(pool, wanted, candidate) {
+		return true
+	}
 	urgent := candidate.job.policy.Priority == workload.Urgent && rank < lastRank
 	if urgent && planner.claimByPreemption(pool, candidate, wanted) {
 		return true
@@ -201,6 +214,25 @@
 	return false
 }
 
+// startOnTrial starts a unit on a worker on probation, which gets no second unit in this plan. Only a single task that
+// has not failed before is risked there. It reports whether the unit was started.
+func (planner *planner) startOnTrial(pool *servicePool, wanted placement.Demand, candidate candidate) bool {
+	if len(candidate.unit.Tasks) > 1 || candidate.failures() > 0 || len(pool.onProbation) == 0 {
+		return false
+	}
+	near := pool.utilisation >= nearOnlyUtilisation
+	places, ok := placement.Place(
+		planner.eligible(pool.onProbation, candidate), wanted, placement.FreeCapacity, near)
+	if !ok {
+		return false
+	}
+	pool.onProbation = slices.DeleteFunc(pool.onProbation, func(worker *placement.Worker) bool {
+		return worker.ID == places[0]
+	})
+	planner.loop.place(candidate, places)
+	return true
+}
+
 // withholdShare is the largest fraction of a service's accelerators that a plan withholds for units that do not fit
 // yet.
 const withholdShare = 0.6
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -230,7 +230,7 @@
 			loop.processUnknownEnd(worker, end, lastExpiry)
 			continue
 		}
-		loop.updateHealth(worker, run.job, end.How)
+		loop.updateHealth(worker, run, end.How)
 		// This comes before endRun, which updates the number that the link acknowledges.
 		loop.deferAcknowledgement(worker, run.job, end.Number)
 		loop.endRun(run, end.How, end.Checkpoint, "listed")
@@ -290,6 +290,7 @@
 func (loop *dispatcher) checkRunning(worker *worker, sent time.Duration, listing Listing) {
 	running := make(map[workload.TaskID]bool, len(listing.Running))
 	verdicts := map[*run]verdict{}
+	var listed []*run
 	for _, status := range listing.Running {
 		running[status.Task] = true
 		known := worker.runs[status.Task]
@@ -299,7 +300,9 @@
 		}
 		known.job.record.SetCheckpoint(known.job.Job, known.task, known.number, status.Checkpoint)
 		verdicts[known] = known.assess(listing.Clock, status.Percent)
+		listed = append(listed, known)
 	}
+	loop.recordSurvivors(worker, listed, sent)
 	loop.handleSlowRuns(worker, verdicts)
 	loop.throttle(worker, listing)
 	if len(listing.Ended) >= maxListedEnds {
@@ -431,12 +434,12 @@
 		"worker", string(worker.entry.ID), "error", err.Error())
 	switch refusal {
 	case RefusedUnhealthy:
-		worker.health.pause(loop.clock(), unhealthyPause)
+		worker.health.Pause(loop.clock(), unhealthyPause)
 	case RefusedTicket:
 		loop.advice.drop(placed.task.StepID(), worker.entry.ID)
 	case RefusedCapacity, RefusedExpired, RefusedInvalid:
 		// Without the pause the next plan would decide and store the same start, and the worker would refuse it again.
-		worker.health.pause(loop.clock(), refusalPause)
+		worker.health.Pause(loop.clock(), refusalPause)
 	}
 	switch {
 	case refusal == RefusedToken && !placed.link.stale(err, token):
--- a/internal/control/speed.go
+++ b/internal/control/speed.go
@@ -228,10 +228,10 @@
 	if !slowFound && len(jobsBelow) < 2 {
 		return
 	}
-	if worker.health.available(loop.clock()) {
+	if worker.health.Available(loop.clock()) {
 		loop.Logger.Warn("slow worker paused", "worker", string(worker.entry.ID), "runs", len(verdicts))
 	}
-	worker.health.pause(loop.clock(), slowPause)
+	worker.health.Pause(loop.clock(), slowPause)
 	for run, found := range verdicts {
 		if found >= belowDeclared && run.endsSoonerElsewhere() && run.job.countMove(run.task) {
 			loop.stopRun(run, "worker is slow")
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workerhealth"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -25,6 +26,8 @@
 	onStored []func()
 	// failedOn are the workers on which runs of the job failed in this term.
 	failedOn map[fleet.WorkerID]bool
+	// soundOn are the workers on which runs of the job have survived or were done in this term.
+	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
 	bestSpeeds map[runKind]speed
 	// moves counts how often each task was moved off a slow worker in this term.
@@ -89,6 +92,8 @@
 	ended atomic.Bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
+	restored bool
 	speeds   speedTracker
 	// crossRack is set if the run's data or a member of its gang is in another rack, which slows the run down.
 	crossRack bool
@@ -124,7 +129,7 @@
 	// unstoredEnds are the numbers of the ends that must not be acknowledged yet. Most of them wait until the record
 	// that counts them is stored; for the others see processUnknownEnd.
 	unstoredEnds map[int64]bool
-	health       health
+	health       workerhealth.Health
 	throttle     throttleState
 }
 
@@ -160,10 +165,20 @@
 	return acknowledgeable
 }
 
+// onTrial reports whether a run that was placed after the last counted failure has not survived yet.
+func (worker *worker) onTrial() bool {
+	for _, run := range worker.runs {
+		if !run.startSent || worker.health.StartedAfterFailure(run.startedAt) {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether new tasks may start on the worker.
 func (worker *worker) usable(now time.Duration) bool {
 	return worker.listed && worker.settled && !worker.unresponsive && !worker.entry.Draining &&
-		worker.health.available(now)
+		worker.health.Available(now)
 }
 
 // updateLink passes the state of the worker that polls depend on to the worker's link.
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -28,6 +28,9 @@
 	PreemptionCost time.Duration
 	// Unreliable workers are chosen only if the other workers do not suffice.
 	Unreliable bool
+	// Proven workers have just shown that they run tasks well. A demand that prefers proven workers is placed on others
+	// only if they do not suffice.
+	Proven bool
 	// SameStepTasks is the number of tasks on the worker that belong to the same step and occurrence as the demand.
 	SameStepTasks int
 }
@@ -40,6 +43,9 @@
 	DataRack     fleet.RackID
 	Label        string
 	MaxPerWorker int
+	// PreferProven is set if the tasks are to run on proven workers if possible, for example because they have failed
+	// elsewhere.
+	PreferProven bool
 	// Restricted is true if only some workers may run the tasks. The functions of this package do not check this: only
 	// these workers may be passed to them.
 	Restricted bool
@@ -103,8 +109,7 @@
 		if !ok {
 			continue
 		}
-		if slack := usableAccelerators(members) +
-			unreliablePenalty*countUnreliable(members, places); best == nil || slack < bestSlack {
+		if slack := usableAccelerators(members) + demand.trustPenalty(members, places); best == nil || slack < bestSlack {
 			best, bestSlack = places, slack
 		}
 	}
@@ -181,25 +186,39 @@
 	}
 }
 
-// unreliablePenalty is added to the slack of a rack for each unreliable worker that the placement in the rack uses. The
-// slack is the number of usable accelerators of the rack, and the rack with the least slack is chosen. The penalty
-// exceeds the number of accelerators in a rack, so that a placement without unreliable workers is always preferred.
-const unreliablePenalty = 1 << 16
+const (
+	// unprovenPenalty and unreliablePenalty are added to the slack of a rack for each worker of this kind that the
+	// placement in the rack uses. The slack is the number of usable accelerators of the rack, and the rack with the
+	// least slack is chosen. The first penalty exceeds the number of accelerators in a rack, and the second one the
+	// first for all workers of a rack, so that placements on more trusted workers are always preferred.
+	unprovenPenalty   = 1 << 12
+	unreliablePenalty = 1 << 24
+)
 
-// countUnreliable returns how many unreliable workers the placement uses.
-func countUnreliable(candidates []candidate, places []fleet.WorkerID) int {
-	count := 0
+// trustPenalty returns the sum of the penalties for the workers that the placement uses.
+func (demand Demand) trustPenalty(candidates []candidate, places []fleet.WorkerID) int {
+	penalty := 0
 	for _, candidate := range candidates {
-		if candidate.worker.Unreliable && slices.Contains(places, candidate.worker.ID) {
-			count++
+		if !slices.Contains(places, candidate.worker.ID) {
+			continue
+		}
+		if candidate.worker.Unreliable {
+			penalty += unreliablePenalty
+		}
+		if demand.PreferProven && !candidate.worker.Proven {
+			penalty += unprovenPenalty
 		}
 	}
-	return count
+	return penalty
 }
 
-// unreliableRank is a sort key that places unreliable workers after all other workers.
-func unreliableRank(worker *Worker) int {
-	if worker.Unreliable {
+// trustRank is a sort key that places unreliable workers after all other workers, and proven workers first if the
+// demand prefers them.
+func (demand Demand) trustRank(worker *Worker) int {
+	switch {
+	case worker.Unreliable:
+		return 2
+	case demand.PreferProven && !worker.Proven:
 		return 1
 	}
 	return 0
@@ -229,7 +248,7 @@
 		return cmp.Or(
 			// A worker with enough free capacity comes before a worker on which tasks would be preempted.
 			cmp.Compare(preemptionRank(a, demand), preemptionRank(b, demand)),
-			cmp.Compare(unreliableRank(a.worker), unreliableRank(b.worker)),
+			cmp.Compare(demand.trustRank(a.worker), demand.trustRank(b.worker)),
 			cmp.Compare(a.worker.PreemptionCost, b.worker.PreemptionCost),
 			cmp.Compare(a.capacity.Accelerators, b.capacity.Accelerators),
 			cmp.Compare(a.capacity.Millicores, b.capacity.Millicores),
--- /dev/null
+++ b/pkg/workerhealth/workerhealth.go
@@ -0,0 +1,129 @@
+// Package workerhealth judges from the ends of runs whether a worker may run new tasks, and whether a failed run is the
+// fault of its worker or of its job. It answers a load in which some workers fail every run that they start, while
+// runs that started there before go on and end well. Its decisions have no side effects outside of Health, and times
+// are readings of the caller's monotonic clock.
+package workerhealth
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+)
+
+const (
+	// FailurePause is the time for which a worker gets no new tasks after its first failed run. Each further failure
+	// doubles it, up to MaxFailurePause.
+	FailurePause    = 1500 * time.Millisecond
+	MaxFailurePause = 12 * time.Second
+	// Probation is the time after a pause in which a worker gets one task at a time, until a run survives there. It is
+	// bounded, because a worker may get no task for a long time while the fleet is idle.
+	Probation = 4 * time.Second
+	// SurvivalTime is the age from which a run that still works shows that its worker does not fail all that it starts.
+	SurvivalTime = 750 * time.Millisecond
+	// ProofAge is the time for which a run that survived shows that its worker is sound.
+	ProofAge = 4 * time.Second
+)
+
+// Health is what the ends of its runs say about a worker. The zero value is the health of a worker without runs.
+type Health struct {
+	// failures counts the failed runs since the last run that survived. Runs that started together and failed together
+	// count once. Failures that are attributed to a job are not counted.
+	failures int
+	// failingJob is the job to which all counted failures belong; empty if they belong to several jobs.
+	failingJob fleet.JobID
+	// failedAt is the time of the last counted failure.
+	failedAt time.Duration
+	// pausedUntil is the time before which the worker gets no new tasks.
+	pausedUntil time.Duration
+	// survivor is the latest start of a run that survived, and proven whether there was one.
+	survivor time.Duration
+	proven   bool
+}
+
+// Available reports whether the worker may get new tasks.
+func (health *Health) Available(now time.Duration) bool { return now >= health.pausedUntil }
+
+// PausedUntil returns the time before which the worker gets no new tasks.
+func (health *Health) PausedUntil() time.Duration { return health.pausedUntil }
+
+// Failures returns the number of counted failures since the last run that survived.
+func (health *Health) Failures() int { return health.failures }
+
+// Unreliable reports whether runs have failed on the worker since its last run that survived.
+func (health *Health) Unreliable() bool { return health.failures > 0 }
+
+// OnProbation reports whether the worker has failed runs, and its pause ended less than Probation ago.
+func (health *Health) OnProbation(now time.Duration) bool {
+	return health.Unreliable() && now < health.pausedUntil+Probation
+}
+
+// StartedAfterFailure reports whether a run that started at the given time started after the last counted failure.
+func (health *Health) StartedAfterFailure(started time.Duration) bool {
+	return health.failures > 0 && started > health.failedAt
+}
+
+// Proven reports whether a run that started less than ProofAge ago has survived on the worker, and none failed since.
+func (health *Health) Proven(now time.Duration) bool {
+	return health.proven && !health.Unreliable() && now-health.survivor < ProofAge
+}
+
+// Pause keeps new tasks off the worker for at least the given duration.
+func (health *Health) Pause(now, length time.Duration) {
+	health.pausedUntil = max(health.pausedUntil, now+length)
+}
+
+// RecordFailure counts the failure of a run that started at the given time, and pauses the worker. A run that started
+// before the last counted failure says nothing new and does not prolong the pause. It reports whether the failure was
+// counted.
+func (health *Health) RecordFailure(job fleet.JobID, started, now time.Duration) bool {
+	if health.failures > 0 && health.failingJob != job {
+		health.failingJob = ""
+	}
+	if health.failures > 0 && !health.StartedAfterFailure(started) {
+		return false
+	}
+	if health.failures == 0 {
+		health.failingJob = job
+	}
+	health.Pause(now, pauseAfter(health.failures))
+	health.failures++
+	health.failedAt = now
+	return true
+}
+
+func pauseAfter(failures int) time.Duration {
+	length := FailurePause
+	for range failures {
+		length = min(2*length, MaxFailurePause)
+	}
+	return length
+}
+
+// RecordSurvival records that a run that started at the given time was done or has worked for SurvivalTime. It clears
+// the failures unless the run started before the last of them: a worker that fails all that it starts may still end
+// earlier runs well.
+func (health *Health) RecordSurvival(started time.Duration) {
+	if health.failures > 0 && !health.StartedAfterFailure(started) {
+		return
+	}
+	if health.failures > 0 {
+		health.pausedUntil = 0
+	}
+	health.failures, health.failingJob = 0, ""
+	health.survivor = max(health.survivor, started)
+	health.proven = true
+}
+
+// Forgive clears the failures if all of them belong to the job.
+func (health *Health) Forgive(job fleet.JobID) {
+	if health.failures > 0 && health.failingJob == job {
+		health.failures, health.failingJob, health.pausedUntil = 0, "", 0
+	}
+}
+
+// BlameJob reports whether failures are the fault of their job: it has failed on at least two workers, and on more
+// workers than those on which its runs work or were done. A wide job that meets several failing workers at once is not
+// to blame, because most of its runs survive.
+func BlameJob(failedWorkers, soundWorkers int) bool {
+	return failedWorkers >= 2 && failedWorkers > soundWorkers
+}
