Serve submissions through other processes when the store fails one of them

Until the loss was known, submissions waited 1.5 s for it and ended with 504, although other daemons could have stored them.

Change: a submission without a response within 0.3 s is also forwarded to another process, and 0.3 s later to a second one; one that the store refused is forwarded at once. The first success is the response. The job is stored once, since its write requires that the id is unused. A refusal by another process never hides that an attempt here may have taken effect.

Ruled out: one attempt elsewhere after a time-out of 0.7 s here (tried; the other daemon often has lost the store too, and takes as long to say so).

TestRelayAfterStoreFailure, TestSubmissionWhileTheStoreIsSilent.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay forwards callers' requests to another entry process while this one cannot reach the store, so that
-// callers connected to this process are neither refused nor given an outdated state.
+// Package relay forwards callers' requests to another entry process if this one cannot reach the store, so that callers
+// connected to this process are neither refused nor given an outdated state.
 package relay
 
 import (
@@ -39,8 +39,8 @@
 	maxResponseBytes = 1 << 20
 )
 
-// Relay handles the requests of callers, in this process or, while this process cannot reach the store, by forwarding
-// them. Its exported fields are set before the first request.
+// Relay handles the requests of callers in this process. It forwards them while this process cannot reach the store, and
+// if the store fails a request before that is known. Its exported fields are set before the first request.
 type Relay struct {
 	// Local serves requests in this process.
 	Local http.Handler
@@ -70,10 +70,6 @@
 
 // ServeHTTP handles one request of a caller, in this process or by forwarding it.
 func (relay *Relay) ServeHTTP(writer http.ResponseWriter, call *http.Request) {
-	if !relay.StoreLost() && !relay.configOutdated() {
-		relay.Local.ServeHTTP(writer, call)
-		return
-	}
 	limit := relay.BodyLimit()
 	body, err := io.ReadAll(io.LimitReader(call.Body, limit+1))
 	if err != nil || int64(len(body)) > limit {
@@ -81,6 +77,20 @@
 		relay.serveLocally(writer, call)
 		return
 	}
+	if relay.StoreLost() || relay.configOutdated() {
+		relay.serveThroughPeer(writer, call, body)
+		return
+	}
+	if call.Method != http.MethodPost {
+		call.Body = io.NopCloser(bytes.NewReader(body))
+		relay.Local.ServeHTTP(writer, call)
+		return
+	}
+	newHedge(relay, call, body).serve(writer)
+}
+
+// serveThroughPeer forwards a request that this process has not handled.
+func (relay *Relay) serveThroughPeer(writer http.ResponseWriter, call *http.Request, body []byte) {
 	result := relay.forward(call, body)
 	relay.recordOutcome(call, result)
 	switch {
@@ -129,23 +139,30 @@
 // idempotent.
 func (relay *Relay) forward(call *http.Request, body []byte) outcome {
 	var result outcome
-	for _, peer := range relay.candidates() {
-		response, err := relay.attempt(call, peer, body)
-		switch {
-		case err == nil && !response.refused():
-			relay.preferPeer(peer, response.revision)
-			return outcome{response: response, peer: peer}
-		case err != nil && !fault.NotSent(err):
-			result.unknown = true
+	for _, peer := range relay.candidates(maxAttempts) {
+		tried := relay.forwardTo(call, peer, body)
+		if tried.response != nil {
+			return tried
 		}
-		relay.avoidPeer(peer)
+		result.unknown = result.unknown || tried.unknown
 	}
 	return result
 }
 
-// candidates returns the addresses of the processes to try: first the process that served the latest forwarded request,
+// forwardTo sends the request to one process.
+func (relay *Relay) forwardTo(call *http.Request, peer string, body []byte) outcome {
+	response, err := relay.attempt(call, peer, body)
+	if err == nil && !response.refused() {
+		relay.preferPeer(peer, response.revision)
+		return outcome{response: response, peer: peer}
+	}
+	relay.avoidPeer(peer)
+	return outcome{unknown: err != nil && !fault.NotSent(err), peer: peer}
+}
+
+// candidates returns the addresses of the processes to try, at most the given number: first the process that served the latest forwarded request,
 // then other processes in random order. It omits processes that did not serve a request within the last avoidTime.
-func (relay *Relay) candidates() []string {
+func (relay *Relay) candidates(limit int) []string {
 	peers := relay.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	relay.mu.Lock()
@@ -155,7 +172,7 @@
 	if at := slices.Index(peers, relay.preferredPeer); at > 0 {
 		peers[0], peers[at] = peers[at], peers[0]
 	}
-	return peers[:min(len(peers), maxAttempts)]
+	return peers[:min(len(peers), limit)]
 }
 
 func (relay *Relay) preferPeer(peer string, revision int64) {
@@ -239,6 +256,9 @@
 	return response.status == http.StatusServiceUnavailable || response.status == http.StatusTooManyRequests
 }
 
+// succeeded reports whether the request was executed.
+func (response *peerResponse) succeeded() bool { return response.status/100 == 2 }
+
 func (response *peerResponse) write(writer http.ResponseWriter) {
 	for _, name := range []string{"Content-Type", "Allow"} {
 		if value := response.header.Get(name); value != "" {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,7 +7,10 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -24,11 +27,15 @@
 	// revision is the configuration revision of all processes.
 	revision int64
 	statuses map[string]peerStatus
+
+	mu       sync.Mutex
 	attempts int
 	bodies   []string
 }
 
 func (peers *fakePeers) RoundTrip(request *http.Request) (*http.Response, error) {
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
 	peers.attempts++
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
@@ -125,6 +132,89 @@
 	}
 }
 
+// TestRelayAfterStoreFailure guards against a caller that is refused, or told that nothing is known, although another
+// process could have served it. It also guards against a refusal by another process that hides that the request may
+// have taken effect in this one.
+func TestRelayAfterStoreFailure(t *testing.T) {
+	const unknown, refused = http.StatusGatewayTimeout, http.StatusServiceUnavailable
+	tests := []struct {
+		name     string
+		local    int
+		statuses map[string]peerStatus
+		status   int
+		attempts int
+	}{
+		{"served here", http.StatusOK, map[string]peerStatus{"a": 410}, http.StatusOK, 0},
+		{"refused here, served there", refused, map[string]peerStatus{"a": 200}, http.StatusOK, 1},
+		{"refused here, final response there", refused, map[string]peerStatus{"a": 401}, http.StatusUnauthorized, 1},
+		{"refused by both", refused, map[string]peerStatus{"a": 503}, refused, 1},
+		{"refused here, lost there", refused, map[string]peerStatus{"a": 0}, unknown, 1},
+		{"refused here, not reached there", refused, map[string]peerStatus{"a": -1}, refused, 1},
+		{"unknown here, served there", unknown, map[string]peerStatus{"a": 200}, http.StatusOK, 1},
+		{"unknown here, refused there", unknown, map[string]peerStatus{"a": 503}, unknown, 1},
+		{"unknown here, other error there", unknown, map[string]peerStatus{"a": 401}, unknown, 1},
+		{"unknown here, lost there", unknown, map[string]peerStatus{"a": 0}, unknown, 1},
+		{"unknown here, nobody else", unknown, nil, unknown, 0},
+		{"refused here, two others tried", refused, map[string]peerStatus{"a": 503, "b": -1, "c": 503}, refused, maxHedges},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			peers := &fakePeers{statuses: test.statuses}
+			relay := newTestRelay(peers, false)
+			relay.Local = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+				writer.Header().Set("Retry-After", "1")
+				writer.WriteHeader(test.local)
+			})
+			recorded := httptest.NewRecorder()
+			relay.ServeHTTP(recorded, httptest.NewRequest(http.MethodPost, "/p/1", strings.NewReader("job")))
+			if recorded.Code != test.status || peers.attempts != test.attempts {
+				t.Errorf("status %d after %d attempts, want %d after %d",
+					recorded.Code, peers.attempts, test.status, test.attempts)
+			}
+			fromHere := test.status == test.local
+			if hasDelay := recorded.Header().Get("Retry-After") != ""; test.attempts > 0 && !fromHere && hasDelay {
+				t.Error("the response of another process has the Retry-After of this one")
+			}
+		})
+	}
+}
+
+// TestSubmissionWhileTheStoreIsSilent guards against a caller that waits for the whole time-out of a store that responds
+// to other processes, and against a submission that is forwarded although the store only is slow.
+func TestSubmissionWhileTheStoreIsSilent(t *testing.T) {
+	tests := []struct {
+		name     string
+		local    time.Duration
+		status   int
+		within   time.Duration
+		attempts int
+	}{
+		{"the store responds", time.Millisecond, http.StatusTeapot, 2 * time.Millisecond, 0},
+		{"the store is slow", 250 * time.Millisecond, http.StatusTeapot, 260 * time.Millisecond, 0},
+		{"the store is silent", 1500 * time.Millisecond, http.StatusOK, hedgeDelay + 10*time.Millisecond, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peers := &fakePeers{statuses: map[string]peerStatus{"a": 200}}
+				relay := newTestRelay(peers, false)
+				relay.Local = http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+					time.Sleep(test.local)
+					writer.WriteHeader(http.StatusTeapot)
+				})
+				began := time.Now()
+				status, _ := send(relay, "job")
+				taken := time.Since(began)
+				time.Sleep(test.local)
+				if status != test.status || taken > test.within || peers.attempts != test.attempts {
+					t.Errorf("status %d after %s and %d attempts, want %d within %s after %d",
+						status, taken, peers.attempts, test.status, test.within, test.attempts)
+				}
+			})
+		})
+	}
+}
+
 // TestRelayKeepsOneProcess guards against successive requests that are forwarded to different processes, whose data may
 // differ in age. It also guards against a new attempt for each request at a process that cannot be reached.
 func TestRelayKeepsOneProcess(t *testing.T) {
