Tell slow workers by their profile's typical speed, and preempt gangs later

All members of a gang are equally slow, so that its slowness could only be the fault of its declaration; and a slow worker got the next gang 2 s later.

Change: - The speeds of the runs of a profile that were done, relative to their declared speeds, tell how far declarations are from the truth.

--- a/internal/control/failing_workers_test.go
+++ b/internal/control/failing_workers_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -23,8 +24,13 @@
 	failing map[fleet.WorkerID]bool
 	// failsFrom and failsUntil bound the failing period.
 	failsFrom, failsUntil time.Duration
-	// startedAt is the time at which the play started each run, and endCount the ends that each worker has listed.
+	// slowdown is how many times as long the work of a failing worker takes in the failing period, if its runs do not
+	// fail; 0 means that they fail.
+	slowdown float64
+	// startedAt is the time at which the play started each run, and done the fraction of its work that is done. endCount
+	// is the number of ends that each worker has listed.
 	startedAt map[*run]time.Duration
+	done      map[*run]float64
 	endCount  map[fleet.WorkerID]int64
 	failures  int
 }
@@ -40,7 +46,8 @@
 func newFleetPlay(t *testing.T, workers int, failingShare float64, seed uint64) *fleetPlay {
 	play := &fleetPlay{
 		testLoop: newTestLoop(t, workers), random: rand.New(rand.NewPCG(seed, 1)),
-		failing: map[fleet.WorkerID]bool{}, startedAt: map[*run]time.Duration{}, endCount: map[fleet.WorkerID]int64{},
+		failing: map[fleet.WorkerID]bool{}, startedAt: map[*run]time.Duration{}, done: map[*run]float64{},
+		endCount: map[fleet.WorkerID]int64{},
 	}
 	for _, i := range play.random.Perm(workers)[:int(failingShare*float64(workers))] {
 		play.failing[fleet.WorkerID(fmt.Sprintf("w%04d", i))] = true
@@ -52,6 +59,7 @@
 func (play *fleetPlay) advance() {
 	time.Sleep(playStep)
 	play.now += playStep
+	play.work()
 	for _, id := range slices.Sorted(maps.Keys(play.workers)) {
 		worker := play.workers[id]
 		play.endRuns(worker)
@@ -70,12 +78,48 @@
 	}
 }
 
+// work advances every run by one step. The members of a gang advance as its slowest member does.
+func (play *fleetPlay) work() {
+	slowest := map[workload.StepID]float64{}
+	speedOn := func(id fleet.WorkerID) float64 {
+		if play.slowdown > 0 && play.failing[id] && play.now >= play.failsFrom && play.now < play.failsUntil {
+			return 1 / play.slowdown
+		}
+		return 1
+	}
+	for id, worker := range play.workers {
+		for _, run := range worker.runs {
+			step := run.task.StepID()
+			if known, ok := slowest[step]; !ok || speedOn(id) < known {
+				slowest[step] = speedOn(id)
+			}
+		}
+	}
+	for id, worker := range play.workers {
+		for _, run := range worker.runs {
+			speed := speedOn(id)
+			if run.step().Gang {
+				speed = slowest[run.task.StepID()]
+			}
+			play.done[run] += speed * float64(playStep) / float64(run.workTime())
+		}
+	}
+}
+
+// workTime returns how long the work of a run takes on a sound worker: between two thirds and four thirds of the
+// declared time, by the job.
+func (run *run) workTime() time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(run.job.ID))
+	return time.Duration(float64(run.step().Estimate) * (2 + 2*float64(hash.Sum32()%1000)/1000) / 3)
+}
+
 // endRuns lists the ends of the runs of one worker that are over.
 func (play *fleetPlay) endRuns(worker *worker) {
 	var ends []RunEnd
 	for _, run := range sortedRuns(worker) {
 		started, age := play.startedAt[run], play.now-play.startedAt[run]
-		fails := play.failing[worker.entry.ID] && started >= play.failsFrom && started < play.failsUntil
+		fails := play.slowdown == 0 && play.failing[worker.entry.ID] && started >= play.failsFrom && started < play.failsUntil
 		var outcome progress.RunOutcome
 		switch {
 		case run.stopping || play.gangBroke(run):
@@ -83,7 +127,7 @@
 		case fails && age >= failureDelay:
 			outcome = progress.RunFailed
 			play.failures++
-		case age >= run.step().Estimate:
+		case play.done[run] >= 1:
 			outcome = progress.RunDone
 		default:
 			continue
@@ -120,8 +164,9 @@
 func (play *fleetPlay) list(worker *worker) {
 	listing := Listing{Clock: WorkerClock(play.now)}
 	for _, run := range sortedRuns(worker) {
-		done := 100 * float64(play.now-play.startedAt[run]) / float64(run.step().Estimate)
-		listing.Running = append(listing.Running, RunStatus{Task: run.task, Run: run.number, Percent: int(done)})
+		listing.Running = append(listing.Running, RunStatus{
+			Task: run.task, Run: run.number, Percent: int(100 * play.done[run]),
+		})
 	}
 	play.checkRunning(worker, play.now, listing)
 }
@@ -197,3 +242,60 @@
 	})
 	return jobs
 }
+
+// TestSlowWorkers plays an eighth of the fleet that takes seven times as long for 8.4 s, under a burst of urgent gangs
+// and of small tasks. It guards against gangs that stay on slow workers since all of their members are equally slow, and
+// against slow workers that get gang after gang.
+func TestSlowWorkers(t *testing.T) {
+	const (
+		workers   = 540
+		slowShare = 0.135
+		// maxUselessShare is the largest share of the urgent jobs that may be completed after three times their objective,
+		// when the answer is of no use to their callers any more.
+		maxUselessShare = 0.02
+	)
+	for seed := uint64(1); seed <= 3; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				play := newFleetPlay(t, workers, slowShare, seed)
+				play.slowdown, play.failsFrom, play.failsUntil = 7, 5*time.Second, 13400*time.Millisecond
+				endedAt := map[*job]time.Duration{}
+				acceptedAt := map[*job]time.Duration{}
+				var urgent []*job
+				for play.now < 40*time.Second {
+					if play.now < 14*time.Second {
+						for _, job := range play.arrivals() {
+							acceptedAt[job] = play.now
+							if job.policy.Priority == workload.Urgent {
+								urgent = append(urgent, job)
+							}
+						}
+					}
+					play.advance()
+					for _, job := range urgent {
+						if _, known := endedAt[job]; !known && job.record.State.Terminal() {
+							endedAt[job] = play.now
+						}
+					}
+				}
+				late, useless := 0, 0
+				for _, job := range urgent {
+					first := &run{job: job, task: workload.TaskID{Job: job.ID}}
+					objective := first.workTime()*3/2 + 250*time.Millisecond
+					ended, ok := endedAt[job]
+					switch taken := ended - acceptedAt[job]; {
+					case !ok || taken > lateFactor*objective:
+						useless++
+					case taken > objective:
+						late++
+					}
+				}
+				t.Logf("%d urgent jobs: %d late, %d of no use any more", len(urgent), late, useless)
+				if useless > int(maxUselessShare*float64(len(urgent))) {
+					t.Errorf("%d of %d urgent jobs were of no use any more when they were done, want at most %.0f%%",
+						useless, len(urgent), 100*maxUselessShare)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// slowPause is the time for which a worker gets no new tasks after slow runs were observed on it.
-	slowPause = 2 * time.Second
 	// refusalPause is the time for which a worker gets no new tasks after it refused to start a run.
 	refusalPause = time.Second
 	// unhealthyPause is the time for which a worker gets no new tasks after it reported itself unhealthy.
@@ -23,6 +21,7 @@
 	switch outcome {
 	case progress.RunDone:
 		run.recordSurvival(worker)
+		loop.recordDuration(run)
 	case progress.RunFailed:
 		if loop.attributeToJob(worker, run) {
 			return
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -197,3 +198,44 @@
 		})
 	}
 }
+
+// TestGangPreemptionDelay guards against a gang that is stopped for an urgent job which needs only wait a moment for
+// capacity, and against an urgent job that waits for its guaranteed capacity until the gang has ended.
+func TestGangPreemptionDelay(t *testing.T) {
+	tests := []struct {
+		name       string
+		guaranteed fleet.Accelerators
+		wait       time.Duration
+		stops      bool
+	}{
+		{"at once", 8, 0, false},
+		{"after the delay", 8, gangPreemptionDelay, true},
+		{"beyond the guarantee", 7, gangPreemptionDelay, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				loop := newTestLoop(t, 1)
+				known := catalog.New(1, nil, []catalog.Organisation{
+					{ID: testOrganisation, Guaranteed: test.guaranteed},
+				}, catalog.Limits{})
+				loop.Catalog = func() *catalog.Catalog { return known }
+				each := workload.Resources{Accelerators: 4}
+				gang := loop.submit(1, workload.Step{Tasks: 2, Each: each, Estimate: time.Minute, Gang: true})
+				loop.plan()
+				for _, run := range loop.workers["w0000"].runs {
+					run.startSent = true
+				}
+				loop.submit(0, workload.Step{Tasks: 2, Each: each, Estimate: time.Second, Gang: true})
+				time.Sleep(test.wait)
+				loop.now += test.wait
+				loop.plan()
+				for _, run := range loop.runsOf(gang) {
+					if run.stopping != test.stops {
+						t.Errorf("member %d: stopping is %t, want %t", run.task.Index, run.stopping, test.stops)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/control/preempt.go
+++ b/internal/control/preempt.go
@@ -12,14 +12,18 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
+// gangPreemptionDelay is how long a unit within a guarantee waits before it preempts members of gangs. Meanwhile the
+// capacity of runs that end is withheld for it. A stopped gang loses the work of all its members.
+const gangPreemptionDelay = 600 * time.Millisecond
+
 // claimByPreemption claims capacity for an urgent unit and stops the runs that occupy this capacity, if the accelerator
-// time that these runs lose is within lossLimit. Members of gangs are preempted only for a unit within a guarantee. It
-// reports whether capacity was claimed.
+// time that these runs lose is within lossLimit. Members of gangs are preempted only for a unit within a guarantee that
+// has waited for gangPreemptionDelay. It reports whether capacity was claimed.
 func (planner *planner) claimByPreemption(pool *servicePool, candidate candidate, wanted placement.Demand) bool {
 	guaranteed := planner.withinGuarantee(candidate.job)
 	limit := planner.lossLimit(candidate, wanted, guaranteed)
 	for _, gangs := range []bool{false, true} {
-		if gangs && !guaranteed {
+		if gangs && !(guaranteed && time.Since(candidate.waitingSince) >= gangPreemptionDelay) {
 			break
 		}
 		view := planner.preemptionView(pool, preemptionScope{priority: candidate.job.policy.Priority, gangs: gangs})
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,6 +30,8 @@
 	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
 	bestSpeeds map[runKind]speed
+	// accuracy is that of the declared run times of the job's profile.
+	accuracy *estimateAccuracy
 	// moves counts how often each task was moved off a slow worker in this term.
 	moves map[workload.TaskID]int
 }
@@ -165,10 +167,10 @@
 	return acknowledgeable
 }
 
-// onTrial reports whether a run that was placed after the last counted failure has not survived yet.
+// onTrial reports whether the worker has a run that shows whether it is sound again.
 func (worker *worker) onTrial() bool {
 	for _, run := range worker.runs {
-		if !run.startSent || worker.health.StartedAfterFailure(run.startedAt) {
+		if !run.startSent || worker.health.OnTrial(run.startedAt) {
 			return true
 		}
 	}
--- a/pkg/workerhealth/workerhealth.go
+++ b/pkg/workerhealth/workerhealth.go
@@ -12,9 +12,15 @@
 
 const (
 	// FailurePause is the time for which a worker gets no new tasks after its first failed run. Each further failure
-	// doubles it, up to MaxFailurePause.
-	FailurePause    = 1500 * time.Millisecond
+	// doubles it.
+	FailurePause = 1500 * time.Millisecond
+	// MaxFailurePause is the longest pause after a failure.
 	MaxFailurePause = 12 * time.Second
+	// SlowPause is the time for which a worker gets no new tasks after slow runs were observed on it. It doubles each time
+	// until a run there has a normal speed.
+	SlowPause = 2 * time.Second
+	// MaxSlowPause is the longest pause for slow runs.
+	MaxSlowPause = 8 * time.Second
 	// Probation is the time after a pause in which a worker gets one task at a time, until a run survives there. It is
 	// bounded, because a worker may get no task for a long time while the fleet is idle.
 	Probation = 4 * time.Second
@@ -33,6 +39,9 @@
 	failingJob fleet.JobID
 	// failedAt is the time of the last counted failure.
 	failedAt time.Duration
+	// slow counts the pauses for slow runs since the last run with a normal speed, and slowAt is the time of the last one.
+	slow   int
+	slowAt time.Duration
 	// pausedUntil is the time before which the worker gets no new tasks.
 	pausedUntil time.Duration
 	// survivor is the latest start of a run that survived, and proven whether there was one.
@@ -49,17 +58,19 @@
 // Failures returns the number of counted failures since the last run that survived.
 func (health *Health) Failures() int { return health.failures }
 
-// Unreliable reports whether runs have failed on the worker since its last run that survived.
-func (health *Health) Unreliable() bool { return health.failures > 0 }
+// Unreliable reports whether runs have failed on the worker since its last run that survived, or were slow there since
+// its last run with a normal speed.
+func (health *Health) Unreliable() bool { return health.failures > 0 || health.slow > 0 }
 
-// OnProbation reports whether the worker has failed runs, and its pause ended less than Probation ago.
+// OnProbation reports whether the worker is unreliable, and its pause ended less than Probation ago.
 func (health *Health) OnProbation(now time.Duration) bool {
 	return health.Unreliable() && now < health.pausedUntil+Probation
 }
 
-// StartedAfterFailure reports whether a run that started at the given time started after the last counted failure.
-func (health *Health) StartedAfterFailure(started time.Duration) bool {
-	return health.failures > 0 && started > health.failedAt
+// OnTrial reports whether a run that started at the given time shows whether an unreliable worker is sound again: it
+// started after the last failure and the last pause for slow runs.
+func (health *Health) OnTrial(started time.Duration) bool {
+	return health.Unreliable() && started > max(health.failedAt, health.slowAt)
 }
 
 // Proven reports whether a run that started less than ProofAge ago has survived on the worker, and none failed since.
@@ -79,7 +90,7 @@
 	if health.failures > 0 && health.failingJob != job {
 		health.failingJob = ""
 	}
-	if health.failures > 0 && !health.StartedAfterFailure(started) {
+	if health.failures > 0 && started <= health.failedAt {
 		return false
 	}
 	if health.failures == 0 {
@@ -103,10 +114,10 @@
 // the failures unless the run started before the last of them: a worker that fails all that it starts may still end
 // earlier runs well.
 func (health *Health) RecordSurvival(started time.Duration) {
-	if health.failures > 0 && !health.StartedAfterFailure(started) {
+	if health.failures > 0 && started <= health.failedAt {
 		return
 	}
-	if health.failures > 0 {
+	if health.failures > 0 && health.slow == 0 {
 		health.pausedUntil = 0
 	}
 	health.failures, health.failingJob = 0, ""
@@ -114,6 +125,25 @@
 	health.proven = true
 }
 
+// RecordSlow pauses the worker, on which runs are slow. A report during a pause for slow runs only prolongs it. It reports
+// whether a new pause began.
+func (health *Health) RecordSlow(now time.Duration) bool {
+	began := health.slow == 0 || health.Available(now)
+	if began {
+		health.slow++
+	}
+	length := SlowPause
+	for range health.slow - 1 {
+		length = min(2*length, MaxSlowPause)
+	}
+	health.slowAt = now
+	health.Pause(now, length)
+	return began
+}
+
+// RecordNormalSpeed records that a run has a normal speed on the worker.
+func (health *Health) RecordNormalSpeed() { health.slow = 0 }
+
 // Forgive clears the failures if all of them belong to the job.
 func (health *Health) Forgive(job fleet.JobID) {
 	if health.failures > 0 && health.failingJob == job {
--- a/pkg/workerhealth/workerhealth_test.go
+++ b/pkg/workerhealth/workerhealth_test.go
@@ -52,6 +52,25 @@
 			health.RecordFailure("b", second, second)
 			health.Forgive("a")
 		}, second, state{false, true, false}},
+		{"slow runs pause the worker", func(health *Health) {
+			health.RecordSlow(second)
+		}, 2 * second, state{false, true, false}},
+		{"a normal speed ends the doubt", func(health *Health) {
+			health.RecordSlow(second)
+			health.RecordNormalSpeed()
+		}, second + SlowPause, state{true, false, false}},
+		{"slow again after the pause", func(health *Health) {
+			health.RecordSlow(0)
+			health.RecordSlow(SlowPause)
+		}, SlowPause + SlowPause, state{false, true, false}},
+		{"a report during the pause does not double it", func(health *Health) {
+			health.RecordSlow(0)
+			health.RecordSlow(second)
+		}, second + SlowPause, state{true, true, false}},
+		{"a run that survives says nothing of its speed", func(health *Health) {
+			health.RecordSlow(second)
+			health.RecordSurvival(2 * second)
+		}, 2 * second, state{false, true, false}},
 		{"proof expires", func(health *Health) {
 			health.RecordSurvival(second)
 		}, second + ProofAge, state{true, false, false}},
