Withdraw the typical speed of a profile and the shorter window for speeds

Where runs resume from checkpoints within 0.6 s, a window of 0.9 s catches little else, and such runs also raise the median.

Kept: probation and growing pauses of slow workers, and the delay before gangs are preempted.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -100,9 +100,7 @@
 	invalidRecords map[fleet.JobID]bool
 	workers        map[fleet.WorkerID]*worker
 	claims         map[workload.TaskID]*claim
-	// accuracies holds the accuracy of the declared run times of each profile.
-	accuracies map[fleet.ProfileName]*estimateAccuracy
-	advice     advice
+	advice         advice
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// pendingCommits is the number of transactions without a known outcome.
@@ -125,7 +123,7 @@
 		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
-		claims: map[workload.TaskID]*claim{}, accuracies: map[fleet.ProfileName]*estimateAccuracy{},
+		claims: map[workload.TaskID]*claim{},
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
@@ -328,9 +326,7 @@
 }
 
 func (loop *dispatcher) addJob(accepted workload.Job, revision keyvalue.Revision) {
-	added := &job{
-		Job: accepted, policy: accepted.Policy, record: progress.New(accepted), accuracy: loop.accuracyOf(accepted.Profile),
-	}
+	added := &job{Job: accepted, policy: accepted.Policy, record: progress.New(accepted)}
 	added.status = ledger.StatusEntry{
 		Status: ledger.Status{
 			State: progress.Queued, Profile: accepted.Profile, Organisation: accepted.Organisation,
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -21,7 +21,6 @@
 	switch outcome {
 	case progress.RunDone:
 		run.recordSurvival(worker)
-		loop.recordDuration(run)
 	case progress.RunFailed:
 		if loop.attributeToJob(worker, run) {
 			return
--- a/internal/control/speed.go
+++ b/internal/control/speed.go
@@ -64,7 +64,7 @@
 
 const (
 	// speedWindow is the minimum time over which a speed is measured.
-	speedWindow = 900 * time.Millisecond
+	speedWindow = 1200 * time.Millisecond
 	// speedWindowShare is the fraction of a task's declared run time over which its speed is measured, if that is
 	// longer than speedWindow. Over a shorter time the result would be inaccurate, because workers report progress in
 	// whole percents.
@@ -81,8 +81,6 @@
 	slowVersusOwnBest  = 0.35
 	slowVersusPeers    = 0.2
 	slowVersusDeclared = 0.2
-	// slowVersusTypical times the typical speed of its profile is the limit below which a run is slow.
-	slowVersusTypical = 0.35
 	// moveCost is the approximate time to stop a run and start it elsewhere.
 	moveCost = 800 * time.Millisecond
 	// checkpointInterval is the approximate work that a run with checkpoints loses when it is moved.
@@ -150,20 +148,12 @@
 	switch {
 	case recent <= 0, recent < slowVersusOwnBest*run.speeds.bestSpeed, recent < slowVersusPeers*job.bestSpeeds[kind]:
 		return slow
-	case run.belowTypical(recent):
-		return slow
 	case recent < slowVersusDeclared*run.declaredSpeed():
 		return belowDeclared
 	}
 	return steady
 }
 
-// belowTypical reports whether a speed is far below that of other runs of the profile, relative to the declared speeds.
-func (run *run) belowTypical(recent speed) bool {
-	typical, ok := run.job.accuracy.median()
-	return ok && recent < slowVersusTypical*speed(typical)*run.declaredSpeed()
-}
-
 // declaredSpeed is the speed at which the run takes its declared run time.
 func (run *run) declaredSpeed() speed {
 	declared := speed(1 / max(run.step().Estimate, time.Millisecond).Seconds())
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,8 +30,6 @@
 	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
 	bestSpeeds map[runKind]speed
-	// accuracy is that of the declared run times of the job's profile.
-	accuracy *estimateAccuracy
 	// moves counts how often each task was moved off a slow worker in this term.
 	moves map[workload.TaskID]int
 }
