--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -25,8 +25,8 @@
 // servicePool is the set of usable workers of one service with their free capacity.
 type servicePool struct {
 	all []*placement.Worker
-	// onProbation are the workers that get one task at a time, because runs failed there; see workerhealth. They are not
-	// in all.
+	// onProbation are the workers that get one task at a time, because runs failed or were slow there; see workerhealth.
+	// They are not in all.
 	onProbation []*placement.Worker
 	// unprotected are the workers that jobs of every priority may use. The remaining workers in all are headroom: they
 	// are kept free for urgent jobs.
