Log how old the configuration was by which a request was decided

The watch of the configuration now reports the time at which the store had no newer one, by the clock that includes suspension. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,8 @@
 	// maxConfirmationAge is the maximum time since Configuration.ConfirmedAt at which a request may be refused because
 	// of the configuration. With an older confirmation, the configuration is read again first.
 	maxConfirmationAge = 400 * time.Millisecond
+	// maxUnloggedAge is the age of the configuration from which on each request is logged.
+	maxUnloggedAge = 2 * time.Second
 )
 
 // Configuration is the newest configuration that this process has read.
@@ -45,6 +47,9 @@
 	Condition keyvalue.Condition
 	// ConfirmedAt is the last time at which the store confirmed that this configuration is the newest.
 	ConfirmedAt time.Time
+	// Age is the time since the store is known to have had no newer configuration. It includes the time for which the VM
+	// was suspended.
+	Age time.Duration
 }
 
 // ConfigurationSource provides the configuration in force.
@@ -83,6 +88,9 @@
 	organisation fleet.OrganisationID
 	job          fleet.JobID
 	condition    keyvalue.Condition
+	// version and age are those of the configuration.
+	version int64
+	age     time.Duration
 }
 
 // admit routes and authenticates a request. Before it refuses a request, it reads the configuration again unless the
@@ -108,18 +116,20 @@
 }
 
 func lookUp(configuration Configuration, request Request) (admission, error) {
+	admitted := admission{
+		condition: configuration.Condition, version: configuration.Version, age: configuration.Age,
+	}
 	profile, ok := configuration.Route(request.Host, request.Path)
 	if !ok {
-		return admission{}, fault.New(fault.UnknownProfile, "no profile has this host and path")
+		return admitted, fault.New(fault.UnknownProfile, "no profile has this host and path")
 	}
 	organisation, ok := configuration.Authenticate(request.Credential)
 	if !ok && !profile.Public {
-		return admission{}, fault.New(fault.Unauthenticated, "the credential is not known")
+		return admitted, fault.New(fault.Unauthenticated, "the credential is not known")
 	}
-	return admission{
-		profile: profile, organisation: organisation, condition: configuration.Condition,
-		job: fleet.JobID(request.Path[len(profile.Prefix):]),
-	}, nil
+	admitted.profile, admitted.organisation = profile, organisation
+	admitted.job = fleet.JobID(request.Path[len(profile.Prefix):])
+	return admitted, nil
 }
 
 func (request Request) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -130,7 +140,8 @@
 	return context.WithTimeout(ctx, max(deadline-responseReserve, responseReserve))
 }
 
-// recordOutcome logs and counts the outcome of one request and returns err. Successful state requests are not logged.
+// recordOutcome logs and counts the outcome of one request and returns err. Successful state requests are logged only
+// if the configuration that they were handled with had not been confirmed for maxUnloggedAge.
 func (gateway *Gateway) recordOutcome(
 	call string, request Request, admitted admission, started time.Time, err error,
 ) error {
@@ -141,13 +152,15 @@
 	elapsed := time.Since(started)
 	metrics.Count(gateway.Metrics, metrics.Name("requests", "call", call, "outcome", outcome))
 	metrics.Observe(gateway.Metrics, metrics.Name("request_milliseconds", "call", call), elapsed)
-	if call == callState && err == nil {
+	metrics.Observe(gateway.Metrics, metrics.Name("configuration_age_milliseconds", "call", call), admitted.age)
+	if call == callState && err == nil && admitted.age < maxUnloggedAge {
 		return err
 	}
 	fields := []any{
 		"call", call, "job", string(admitted.job), "profile", string(admitted.profile.Name),
 		"organisation", string(admitted.organisation), "outcome", outcome, "taken_ms", elapsed.Milliseconds(),
-		"config_revision", int64(admitted.condition.Revision),
+		"config_version", admitted.version, "config_revision", int64(admitted.condition.Revision),
+		"config_age_ms", admitted.age.Milliseconds(),
 	}
 	if err != nil {
 		fields = append(fields, "reason", err.Error(), "path", request.Path)
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -26,7 +26,11 @@
 	Wait time.Duration
 	// RetryPause is the delay before the retry of a failed call.
 	RetryPause time.Duration
-	Logger     hclog.Logger
+	// Confirm is called after each successful call and after Apply. At the time at, a reading of Clock, the store had no
+	// changes under the prefix that have not been passed to Apply. If Confirm is nil, Clock is not needed.
+	Confirm func(at time.Duration)
+	Clock   func() time.Duration
+	Logger  hclog.Logger
 
 	lastContact atomic.Int64
 	synced      atomic.Bool
@@ -72,6 +76,7 @@
 func (mirror *Mirror) list(ctx context.Context) (Revision, error) {
 	for {
 		bounded, cancel := context.WithTimeout(ctx, listTimeout)
+		sentAt := mirror.now()
 		items, after, err := mirror.Store.List(bounded, mirror.Prefix)
 		cancel()
 		if err == nil {
@@ -81,6 +86,7 @@
 			}
 			mirror.Apply(changes, true)
 			mirror.recordContact()
+			mirror.confirm(sentAt)
 			mirror.synced.Store(true)
 			return after, nil
 		}
@@ -100,13 +106,17 @@
 			wait = 0
 		}
 		bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
+		sentAt := mirror.now()
 		changes, next, err := mirror.Store.Watch(bounded, mirror.Prefix, after, wait)
 		cancel()
 		if err == nil {
 			mirror.recordContact()
 			if len(changes) > 0 {
 				mirror.Apply(changes, false)
+				wait = 0
 			}
+			// Without changes, the store held the call for the whole wait.
+			mirror.confirm(min(sentAt+wait, mirror.now()))
 			return max(next, after), nil
 		}
 		if errors.Is(err, ErrCompacted) {
@@ -128,6 +138,19 @@
 	return lifecycle.Sleep(ctx, mirror.RetryPause)
 }
 
+func (mirror *Mirror) now() time.Duration {
+	if mirror.Clock == nil {
+		return 0
+	}
+	return mirror.Clock()
+}
+
+func (mirror *Mirror) confirm(at time.Duration) {
+	if mirror.Confirm != nil {
+		mirror.Confirm(at)
+	}
+}
+
 func (mirror *Mirror) recordContact() {
 	mirror.lastContact.Store(time.Now().UnixNano())
 	if mirror.storeLost {
