--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/quetzalstall/quetzalstall/internal/handover"
@@ -212,6 +213,10 @@
 	request.Header.Set(revisionHeader, strconv.FormatInt(max(relay.highestSeen(), relay.ConfigRevision()), 10))
 	response, err := relay.Client.Do(request)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			// Connections that fall silent often do so together. The next attempt opens a new one.
+			relay.Client.CloseIdleConnections()
+		}
 		return nil, err
 	}
 	defer response.Body.Close()
