Interpret the path of a query with the configuration that admits it

Callers that asked how many jobs wait under a route just added were answered 410, as if they had asked about a job, by a process whose copy of the configuration was older: the path was compared with the routes of that copy, and the request then admitted with the newest one, which was read to check the refusal. Query does both with one configuration.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,17 +234,40 @@
 	return true
 }
 
-// State returns the state of a job.
-func (gateway *Gateway) State(ctx context.Context, request Request) (progress.State, error) {
+// Answer is the response to a query: the state of a job or, if the path of the query names no job, the number of jobs
+// of a profile that wait.
+type Answer struct {
+	State progress.State
+	// Pending is the number of accepted jobs of the profile that have not started; jobs with a schedule are not counted.
+	Pending int
+	// IsCount means that Pending is set, and not State.
+	IsCount bool
+}
+
+// Query answers a query about a job or about the waiting jobs of a profile. The path is interpreted with the same
+// configuration with which the request is admitted.
+func (gateway *Gateway) Query(ctx context.Context, request Request) (Answer, error) {
 	started := time.Now()
 	ctx, cancel := request.withDeadline(ctx)
 	defer cancel()
 	admitted, err := gateway.admit(ctx, request)
 	if err != nil {
-		return "", gateway.recordOutcome(callState, request, admitted, started, err)
+		return Answer{}, gateway.recordOutcome(callState, request, admitted, started, err)
+	}
+	if admitted.job == "" {
+		answer, err := gateway.pending(admitted)
+		return answer, gateway.recordOutcome(callPending, request, admitted, started, err)
 	}
 	entry, err := gateway.status(ctx, admitted)
-	return entry.State, gateway.recordOutcome(callState, request, admitted, started, err)
+	return Answer{State: entry.State}, gateway.recordOutcome(callState, request, admitted, started, err)
+}
+
+func (gateway *Gateway) pending(admitted admission) (Answer, error) {
+	if !gateway.StatusesSynced() {
+		return Answer{}, fault.New(fault.Starting, "the job statuses have not been read yet").
+			WithRetryAfter(storeRetryAfter)
+	}
+	return Answer{Pending: gateway.Statuses.Pending(admitted.profile.Name), IsCount: true}, nil
 }
 
 // status returns the status of the job from the cache, or from the store if the cache does not hold it.
@@ -302,29 +325,6 @@
 	}
 }
 
-// Pending returns the number of accepted jobs of a profile that have not started; jobs with a schedule are not counted.
-func (gateway *Gateway) Pending(ctx context.Context, request Request) (int, error) {
-	started := time.Now()
-	ctx, cancel := request.withDeadline(ctx)
-	defer cancel()
-	admitted, err := gateway.admit(ctx, request)
-	if err == nil && !gateway.StatusesSynced() {
-		err = fault.New(fault.Starting, "the job statuses have not been read yet").WithRetryAfter(storeRetryAfter)
-	}
-	return gateway.Statuses.Pending(admitted.profile.Name),
-		gateway.recordOutcome(callPending, request, admitted, started, err)
-}
-
-// IsProfilePath reports whether the path of a request is the path prefix of a profile, without a job id.
-func (gateway *Gateway) IsProfilePath(request Request) bool {
-	configuration, ok := gateway.Configuration.Current()
-	if !ok {
-		return false
-	}
-	profile, ok := configuration.Route(request.Host, request.Path)
-	return ok && profile.Prefix == request.Path
-}
-
 // sameJob reports whether a stored job equals a job that is submitted with the same id. The time of acceptance and the
 // policy are not compared, since the policy of the stored job may come from an earlier configuration.
 func sameJob(item keyvalue.Item, job workload.Job) bool {
