Admit a repeated submission again if the configuration has changed

A caller whose credential had been withdrawn was answered 200 when it repeated a submission, by a process that had not heard of the change: the store's conflict said both that the job exists and that the configuration is newer than the copy, and only the first was looked at. The request is admitted again first, by the configuration that comes with the conflict, which also saves reading it.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -70,28 +70,36 @@
 	return err
 }
 
-// resolve handles an attempt whose conditions did not hold. It returns nil if the same job is stored already, for
-// example by an earlier attempt. Otherwise the configuration has changed: resolve admits the request again under the
-// newest configuration and returns errConfigChanged, so that the write is retried.
+// resolve handles an attempt whose conditions did not hold. If the configuration has changed, the request is admitted
+// again under the newest one, before anything else is decided. resolve returns nil if the same job is stored already, for
+// example by an earlier attempt, and errConfigChanged if the write is to be retried.
 func (submission *submission) resolve(ctx context.Context, conflict *keyvalue.ConflictError) error {
-	if item, ok := conflict.Current(ledger.JobKey(submission.job.ID)); ok {
-		if sameJob(item, submission.job) {
-			return nil
-		}
-		return fault.New(fault.InvalidArgument, "another job has the id %q", submission.job.ID)
-	}
-	if err := submission.gateway.Configuration.Refresh(ctx); err != nil {
+	if err := submission.followConfiguration(ctx, conflict); err != nil {
 		return err
 	}
+	item, ok := conflict.Current(ledger.JobKey(submission.job.ID))
+	switch {
+	case !ok:
+		return errConfigChanged
+	case sameJob(item, submission.job):
+		return nil
+	}
+	return fault.New(fault.InvalidArgument, "another job has the id %q", submission.job.ID)
+}
+
+// followConfiguration admits the request again if the conflict shows that the configuration has changed.
+func (submission *submission) followConfiguration(ctx context.Context, conflict *keyvalue.ConflictError) error {
+	item, ok := conflict.Current(submission.condition.Key)
+	if !ok || item.Revision == submission.condition.Revision {
+		return nil
+	}
+	submission.gateway.Configuration.Observe(item)
 	admitted, err := submission.gateway.admit(ctx, submission.request)
-	if err != nil {
-		if submission.outcomeUnknown {
-			return fault.New(fault.AnswerLost, "the job may have been stored under an older configuration: %v", err)
-		}
-		return err
+	if err != nil && submission.outcomeUnknown {
+		return fault.New(fault.AnswerLost, "the job may have been stored under an older configuration: %v", err)
 	}
 	submission.condition = admitted.condition
-	return errConfigChanged
+	return err
 }
 
 // errConfigChanged makes a submission retry under the newest configuration.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,8 @@
 	Current() (Configuration, bool)
 	// Refresh reads the configuration from the store.
 	Refresh(ctx context.Context) error
+	// Observe takes the configuration from a response of the store, which may be older than the current one.
+	Observe(item keyvalue.Item)
 }
 
 // Request holds the properties that all requests of callers have.
