Cancel a job only under the configuration that admitted the caller

A job was cancelled with a credential that had been withdrawn, by a process that had not heard of the change: the transaction of a cancellation had the condition that the status is unchanged, but not that the configuration is. It has now, as that of a submission; after a conflict the caller is admitted again.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -89,19 +89,28 @@
 
 // followConfiguration admits the request again if the conflict shows that the configuration has changed.
 func (submission *submission) followConfiguration(ctx context.Context, conflict *keyvalue.ConflictError) error {
-	item, ok := conflict.Current(submission.condition.Key)
-	if !ok || item.Revision == submission.condition.Revision {
-		return nil
-	}
-	submission.gateway.Configuration.Observe(item)
-	admitted, err := submission.gateway.admit(ctx, submission.request)
+	condition, err := submission.gateway.followConfiguration(ctx, submission.request, submission.condition, conflict)
 	if err != nil && submission.outcomeUnknown {
 		return fault.New(fault.AnswerLost, "the job may have been stored under an older configuration: %v", err)
 	}
-	submission.condition = admitted.condition
+	submission.condition = condition
 	return err
 }
 
+// followConfiguration admits a request again if the conflict shows that the configuration has changed since the request
+// was admitted under the given condition. It returns the condition for the next attempt.
+func (gateway *Gateway) followConfiguration(
+	ctx context.Context, request Request, condition keyvalue.Condition, conflict *keyvalue.ConflictError,
+) (keyvalue.Condition, error) {
+	item, ok := conflict.Current(condition.Key)
+	if !ok || item.Revision == condition.Revision {
+		return condition, nil
+	}
+	gateway.Configuration.Observe(item)
+	admitted, err := gateway.admit(ctx, request)
+	return admitted.condition, err
+}
+
 // errConfigChanged makes a submission retry under the newest configuration.
 var errConfigChanged = errors.New("the configuration changed")
 
@@ -112,12 +121,12 @@
 	defer cancel()
 	admitted, err := gateway.admit(ctx, request)
 	if err == nil {
-		err = gateway.cancel(ctx, admitted)
+		err = gateway.cancel(ctx, request, admitted)
 	}
 	return gateway.recordOutcome(callCancel, request, admitted, started, err)
 }
 
-func (gateway *Gateway) cancel(ctx context.Context, admitted admission) error {
+func (gateway *Gateway) cancel(ctx context.Context, request Request, admitted admission) error {
 	entry, err := gateway.status(ctx, admitted)
 	if err != nil {
 		return err
@@ -125,46 +134,69 @@
 	if gateway.StoreLost() {
 		return errStoreLost
 	}
+	cancellation := cancellation{
+		gateway: gateway, request: request, job: admitted.job, entry: entry, condition: admitted.condition,
+	}
 	return gateway.retry(ctx, func(ctx context.Context) error {
-		if entry.State.Terminal() {
+		if cancellation.entry.State.Terminal() {
 			return nil
 		}
-		current, err := gateway.attemptCancel(ctx, admitted.job, entry)
-		entry = current
-		return err
+		return cancellation.attempt(ctx)
 	})
 }
 
-// errStatusChanged makes a cancellation retry with the current status.
-var errStatusChanged = errors.New("the status of the job changed during the cancellation")
+// errStatusChanged makes a cancellation retry with the current status and configuration.
+var errStatusChanged = errors.New("the status of the job or the configuration changed during the cancellation")
+
+// cancellation is the state of one call of Cancel, which may make several attempts to store the cancelled status.
+type cancellation struct {
+	gateway *Gateway
+	request Request
+	job     fleet.JobID
+	// entry is the newest known status of the job.
+	entry ledger.StatusEntry
+	// condition holds as long as the configuration that admitted the request is the newest one.
+	condition keyvalue.Condition
+}
 
-func (gateway *Gateway) attemptCancel(
-	ctx context.Context, id fleet.JobID, entry ledger.StatusEntry,
-) (ledger.StatusEntry, error) {
-	cancelled := entry.Status
+func (cancellation *cancellation) attempt(ctx context.Context) error {
+	cancelled := cancellation.entry.Status
 	cancelled.State, cancelled.Ended = progress.Cancelled, time.Now().UTC()
-	key := ledger.StatusKey(id)
-	revision, err := gateway.Store.Commit(ctx, keyvalue.Txn{
-		Conditions: []keyvalue.Condition{{Key: key, Revision: entry.Revision}},
+	key := ledger.StatusKey(cancellation.job)
+	revision, err := cancellation.gateway.Store.Commit(ctx, keyvalue.Txn{
+		Conditions: []keyvalue.Condition{{Key: key, Revision: cancellation.entry.Revision}, cancellation.condition},
 		Writes:     []keyvalue.Write{{Key: key, Value: ledger.Encode(cancelled)}},
 	})
 	if conflict := (*keyvalue.ConflictError)(nil); errors.As(err, &conflict) {
-		item, ok := conflict.Current(key)
-		if !ok {
-			return entry, fault.New(fault.NotFound, "no such job")
-		}
-		current, err := ledger.Decode[ledger.Status](item)
-		if err != nil {
-			return entry, fault.New(fault.Internal, "%v", err)
-		}
-		entry = ledger.StatusEntry{Status: current, Revision: item.Revision}
-		gateway.Statuses.Update(id, entry)
-		return entry, errStatusChanged
+		return cancellation.resolve(ctx, conflict)
+	}
+	if err == nil {
+		cancellation.update(ledger.StatusEntry{Status: cancelled, Revision: revision})
+	}
+	return err
+}
+
+// resolve handles an attempt whose conditions did not hold. It returns errStatusChanged if the attempt is to be retried.
+func (cancellation *cancellation) resolve(ctx context.Context, conflict *keyvalue.ConflictError) error {
+	condition, err := cancellation.gateway.followConfiguration(
+		ctx, cancellation.request, cancellation.condition, conflict)
+	if err != nil {
+		return err
 	}
+	cancellation.condition = condition
+	item, ok := conflict.Current(ledger.StatusKey(cancellation.job))
+	if !ok {
+		return fault.New(fault.NotFound, "no such job")
+	}
+	current, err := ledger.Decode[ledger.Status](item)
 	if err != nil {
-		return entry, err
+		return fault.New(fault.Internal, "%v", err)
 	}
-	entry = ledger.StatusEntry{Status: cancelled, Revision: revision}
-	gateway.Statuses.Update(id, entry)
-	return entry, nil
+	cancellation.update(ledger.StatusEntry{Status: current, Revision: item.Revision})
+	return errStatusChanged
+}
+
+func (cancellation *cancellation) update(entry ledger.StatusEntry) {
+	cancellation.entry = entry
+	cancellation.gateway.Statuses.Update(cancellation.job, entry)
 }
