Answer queries only by a configuration of known age

Callers saw states and counts under a route that had been removed, at processes that the store had refused for longer than a change may take, and at processes whose watch of the configuration got no response while other calls did.

Cause: a submission or a cancellation is tied to the newest configuration by its transaction, but a query followed the process's copy, however old. Other processes were asked only while the store counted as lost, and if three of them refused, the copy was used again without a limit.

In an outage of the store for everyone, states are refused from then on that were answered from the copy before; it can't be told from a store that refuses only these VMs.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -119,7 +119,7 @@
 	started := time.Now()
 	ctx, cancel := request.withDeadline(ctx)
 	defer cancel()
-	admitted, err := gateway.admit(ctx, request)
+	admitted, err := gateway.admitQuery(ctx, request)
 	if err == nil {
 		err = gateway.cancel(ctx, request, admitted)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,8 +80,13 @@
 	// StoreLost reports whether this process cannot reach the store. While it cannot, submissions and cancellations are
 	// refused at once, because the caller gets a response sooner from another process.
 	StoreLost func() bool
-	Logger    hclog.Logger
-	Metrics   gometrics.Registry
+	// MaxConfigAge is the age from which on the configuration is read again before a query is answered.
+	MaxConfigAge time.Duration
+	// ConfigAgeLimit is the age from which on no request is answered by the configuration, not even if it cannot be read
+	// again. It is at least MaxConfigAge.
+	ConfigAgeLimit time.Duration
+	Logger         hclog.Logger
+	Metrics        gometrics.Registry
 }
 
 // admission is the result of a successful routing and authentication of a request.
@@ -95,21 +100,19 @@
 	age     time.Duration
 }
 
-// admit routes and authenticates a request. Before it refuses a request, it reads the configuration again unless the
-// configuration was confirmed just now, since operators may have added the profile or credential of the request.
+// admit routes and authenticates a request whose effect depends on a condition for the configuration. Before it refuses
+// a request, it reads the configuration again unless the configuration was confirmed just now, since operators may have
+// added the profile or credential of the request.
 func (gateway *Gateway) admit(ctx context.Context, request Request) (admission, error) {
 	configuration, ok := gateway.Configuration.Current()
 	if !ok {
-		return admission{}, fault.New(fault.Starting, "no configuration has been read yet").
-			WithRetryAfter(storeRetryAfter)
+		return admission{}, errNoConfiguration
 	}
 	admitted, err := lookUp(configuration, request)
 	if err == nil || time.Since(configuration.ConfirmedAt) < maxConfirmationAge {
 		return admitted, err
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if refreshErr := gateway.Configuration.Refresh(bounded); refreshErr != nil {
+	if refreshErr := gateway.refresh(ctx); refreshErr != nil {
 		return admission{}, fault.New(fault.StoreUnavailable, "%v; the configuration cannot be confirmed: %v",
 			err, refreshErr).WithRetryAfter(storeRetryAfter)
 	}
@@ -117,6 +120,32 @@
 	return lookUp(configuration, request)
 }
 
+// admitQuery admits a request that may be answered without a write to the store. Such a request is answered only by a
+// configuration whose age is known to be small enough.
+func (gateway *Gateway) admitQuery(ctx context.Context, request Request) (admission, error) {
+	configuration, ok := gateway.Configuration.Current()
+	if !ok {
+		return admission{}, errNoConfiguration
+	}
+	if configuration.Age > gateway.MaxConfigAge && !gateway.StoreLost() && gateway.refresh(ctx) == nil {
+		configuration, _ = gateway.Configuration.Current()
+	}
+	if configuration.Age > gateway.ConfigAgeLimit {
+		return admission{}, fault.New(fault.StoreUnavailable, "the store has not confirmed the configuration for %s",
+			configuration.Age.Round(time.Millisecond)).WithRetryAfter(storeRetryAfter)
+	}
+	return gateway.admit(ctx, request)
+}
+
+// errNoConfiguration is the error for a request that arrives before the first configuration has been read.
+var errNoConfiguration = fault.New(fault.Starting, "no configuration has been read yet").WithRetryAfter(storeRetryAfter)
+
+func (gateway *Gateway) refresh(ctx context.Context) error {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return gateway.Configuration.Refresh(bounded)
+}
+
 func lookUp(configuration Configuration, request Request) (admission, error) {
 	admitted := admission{
 		condition: configuration.Condition, version: configuration.Version, age: configuration.Age,
@@ -252,7 +281,7 @@
 	started := time.Now()
 	ctx, cancel := request.withDeadline(ctx)
 	defer cancel()
-	admitted, err := gateway.admit(ctx, request)
+	admitted, err := gateway.admitQuery(ctx, request)
 	if err != nil {
 		return Answer{}, gateway.recordOutcome(callState, request, admitted, started, err)
 	}
