Date the confirmation of a configuration before the call that brought it

Callers were refused with 404 under a route that had been put back, for 0.4 s, without the check by a read that each refusal needs: a configuration counted as confirmed at the moment it was applied, however long its response had been under way, as after a pause of the VM or on a busy one. Its age counts from the time the call was sent.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,8 +33,8 @@
 	defaultDeadline = 3 * time.Second
 	// responseReserve is the part of the caller's deadline that is reserved for the transmission of the response.
 	responseReserve = 100 * time.Millisecond
-	// maxConfirmationAge is the maximum time since Configuration.ConfirmedAt at which a request may be refused because
-	// of the configuration. With an older confirmation, the configuration is read again first.
+	// maxConfirmationAge is the maximum age of the configuration at which a request may be refused because of it. An older
+	// configuration is read again first.
 	maxConfirmationAge = 400 * time.Millisecond
 	// maxUnloggedAge is the age of the configuration from which on each request is logged.
 	maxUnloggedAge = 2 * time.Second
@@ -45,8 +45,6 @@
 	*catalog.Catalog
 	// Condition is a transaction condition that holds as long as this configuration is the newest one in the store.
 	Condition keyvalue.Condition
-	// ConfirmedAt is the last time at which the store confirmed that this configuration is the newest.
-	ConfirmedAt time.Time
 	// Age is the time since the store is known to have had no newer configuration. It includes the time for which the VM
 	// was suspended.
 	Age time.Duration
@@ -109,7 +107,7 @@
 		return admission{}, errNoConfiguration
 	}
 	admitted, err := lookUp(configuration, request)
-	if err == nil || time.Since(configuration.ConfirmedAt) < maxConfirmationAge {
+	if err == nil || configuration.Age < maxConfirmationAge {
 		return admitted, err
 	}
 	if refreshErr := gateway.refresh(ctx); refreshErr != nil {
