Give up tasks that crash their workers, and start suspects apart from others

The runs that had just started on a crashed worker are suspected now. The count of crashes is kept in the job's record in the store, so that it outlives the daemon; a suspect starts again on a worker of its own, where a further crash shows who is to blame and costs nobody else, and is cleared once it goes on working.

--- /dev/null
+++ b/internal/control/crash.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/placement"
+	"github.com/quetzalstall/quetzalstall/pkg/workerhealth"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// A task may crash each worker that it starts on. Nobody can tell from one crash which of the runs on the worker is to
+// blame. The runs that had just started there are suspected: they start again each on a worker without other runs,
+// where a further crash shows who is to blame and costs nobody else their work.
+
+const (
+	// promptCrash is the time from the start of a run within which a crash of its worker makes the run a suspect.
+	promptCrash = 500 * time.Millisecond
+	// isolationWait is how long a suspected unit waits for a worker without runs. It is below the time after which a job
+	// that could run counts as forgotten.
+	isolationWait = 2 * time.Second
+	// reliableAfter is how long a worker must have answered before a suspected unit starts there.
+	reliableAfter = 10 * time.Second
+	// coincidence is the time within which crashes of several workers may have a common cause.
+	coincidence = time.Second
+	// unexplainedCrashes is the number of workers that crashed at about the same time without a suspect, from which on
+	// another cause than a run is assumed; one in the same rack is enough.
+	unexplainedCrashes = 2
+)
+
+// attributeCrash records which runs may have crashed a worker whose incarnation has ended without notice. proven is
+// false if the incarnation may still exist, because the worker is only known to be out of reach.
+func (loop *dispatcher) attributeCrash(crashed *worker, proven bool) {
+	if crashed.entry.Draining {
+		return
+	}
+	suspects := crashed.suspects()
+	lone := proven && crashed.failedPromptly && !loop.otherCause(crashed)
+	for _, run := range suspects {
+		lone = lone && run.job == suspects[0].job && !run.restored
+	}
+	for _, run := range suspects {
+		if !run.job.record.CountCrash(run.job.Job, run.task, run.number, lone) {
+			continue
+		}
+		loop.markDirty(run.job)
+		run.job.suspectedAt(run.task, loop.clock())
+		crashes := run.job.record.Crashes(run.job.Job, run.task)
+		loop.Logger.Warn("worker crashed under a run", "task", run.task.String(), "run", int(run.number),
+			"worker", string(crashed.entry.ID), "crashes", crashes.Count, "lone_crashes", crashes.Lone,
+			"suspects", len(suspects), "proven", proven, "state", string(run.job.record.State))
+	}
+}
+
+// suspects returns the runs that may have crashed the worker, because they had just started when it stopped answering.
+func (worker *worker) suspects() []*run {
+	var suspects []*run
+	for _, run := range worker.runs {
+		if run.mayHaveCrashed(worker) {
+			suspects = append(suspects, run)
+		}
+	}
+	return suspects
+}
+
+func (run *run) mayHaveCrashed(worker *worker) bool {
+	switch {
+	case !run.startSent || run.survived:
+		return false
+	case run.restored:
+		// When a former controller started the run is not known.
+		return run.firstListed == 0
+	case run.confirmedAt == 0:
+		return true
+	case worker.failedPromptly:
+		return worker.failingSince-run.confirmedAt <= promptCrash
+	}
+	return worker.lastHeard-run.confirmedAt <= promptCrash
+}
+
+// otherCause reports whether other workers crashed at about the same time although no run had just started there. Then
+// something else than a run crashes workers, such as the loss of a rack.
+func (loop *dispatcher) otherCause(crashed *worker) bool {
+	count := 0
+	for _, other := range loop.workers {
+		if other == crashed || !other.unexplained || (other.failingSince-crashed.failingSince).Abs() > coincidence {
+			continue
+		}
+		if count++; count >= unexplainedCrashes || other.entry.Rack == crashed.entry.Rack {
+			return true
+		}
+	}
+	return false
+}
+
+// markFailing records that the worker has stopped answering, unless that is known already. promptly is set if the
+// failure was noticed at once, since the connection ended.
+func (worker *worker) markFailing(now time.Duration, promptly bool) {
+	if worker.unresponsive {
+		return
+	}
+	worker.failingSince, worker.everFailed, worker.failedPromptly = now, true, promptly
+	worker.unexplained = len(worker.suspects()) == 0
+}
+
+// suspectedAt records when a task fell under suspicion in this term.
+func (job *job) suspectedAt(id workload.TaskID, now time.Duration) {
+	if job.suspectedSince == nil {
+		job.suspectedSince = map[workload.TaskID]time.Duration{}
+	}
+	job.suspectedSince[id] = now
+}
+
+// clearSuspicion forgets the crashes under a task whose run was listed as working at two times far enough apart.
+func (loop *dispatcher) clearSuspicion(run *run, requested time.Duration) {
+	if run.cleared || run.firstListed == 0 || requested-run.firstListed < workerhealth.SurvivalTime {
+		return
+	}
+	run.cleared = true
+	if run.job.record.ClearCrashes(run.job.Job, run.task) {
+		loop.markDirty(run.job)
+	}
+}
+
+// isolating reports whether the worker has a suspected run, so that no other job may start there.
+func (worker *worker) isolating() bool {
+	for _, run := range worker.runs {
+		if run.isolated && !run.cleared {
+			return true
+		}
+	}
+	return false
+}
+
+// fitForIsolation reports whether a suspected unit may start on the worker: nothing runs there, and the worker has
+// answered for long enough that a crash is not likely to be its own fault.
+func (worker *worker) fitForIsolation(now time.Duration) bool {
+	if worker.everFailed && now-worker.failingSince < reliableAfter {
+		return false
+	}
+	return len(worker.runs) == 0 && worker.reserved == workload.Resources{} && !worker.health.Unreliable()
+}
+
+// suspected reports whether the unit may have crashed a worker.
+func (candidate candidate) suspected() bool {
+	return candidate.job.record.Crashes(candidate.job.Job, candidate.key()).Suspected()
+}
+
+// isolated reports whether the unit has to start apart from other runs.
+func (planner *planner) isolated(candidate candidate) bool {
+	if !candidate.suspected() {
+		return false
+	}
+	since, ok := candidate.job.suspectedSince[candidate.key()]
+	if !ok {
+		since = planner.loop.started
+	}
+	return planner.now-since < isolationWait
+}
+
+// startIsolated starts a suspected unit on workers without runs, where nothing else starts until the unit is above
+// suspicion. If there are none, the unit waits.
+func (planner *planner) startIsolated(candidate candidate) {
+	pool := planner.pools[candidate.job.policy.Service]
+	if pool == nil {
+		return
+	}
+	wanted := placement.DemandOf(candidate.step(), len(candidate.unit.Tasks))
+	wanted.Restricted = true
+	if planner.awaitsAdvice(pool, wanted, candidate) {
+		return
+	}
+	var alone []*placement.Worker
+	for _, worker := range planner.eligible(pool.all, candidate) {
+		if planner.loop.workers[worker.ID].fitForIsolation(planner.now) {
+			alone = append(alone, worker)
+		}
+	}
+	for _, near := range []bool{true, false} {
+		if places, ok := placement.Place(alone, wanted, placement.FreeCapacity, near); ok {
+			for i, run := range planner.loop.place(candidate, places) {
+				run.isolated = true
+				planner.loop.workers[places[i]].updateLink()
+			}
+			planner.isolate(pool, places)
+			return
+		}
+	}
+}
+
+// isolate removes the workers of an isolated unit from the pool for the rest of the plan.
+func (planner *planner) isolate(pool *servicePool, places []fleet.WorkerID) {
+	for _, id := range places {
+		for _, worker := range pool.copies[id] {
+			worker.Free = workload.Resources{}
+			worker.Reclaimable = workload.Resources{}
+		}
+	}
+}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -38,6 +38,7 @@
 func (loop *dispatcher) recordSurvivors(worker *worker, listed []*run, requested time.Duration) {
 	for _, run := range listed {
 		if run.startSent && !run.stopping && requested-run.startedAt >= workerhealth.SurvivalTime {
+			run.survived = true
 			run.recordSurvival(worker)
 		}
 	}
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -30,9 +30,9 @@
 	formerLeasesUntil time.Duration
 	// occupied is set while runs are placed on the worker.
 	occupied bool
-	// mixed is set while the worker has both serving runs, which have a target for their response times, and
-	// best-effort runs.
-	mixed bool
+	// frequent is set while the worker is polled at short intervals, because it has both serving runs, which have a target
+	// for their response times, and best-effort runs, or because it has a run that may crash it.
+	frequent bool
 	// responded is set once the worker has responded to a poll with this link's token.
 	responded bool
 	// unresponsive is set while polls fail. Meanwhile no lease is extended, so that all granted leases expire.
@@ -107,10 +107,10 @@
 
 // update sets the fields of the link that determine when it polls and with which order, and wakes the link if the
 // change requires a poll.
-func (link *link) update(occupied, mixed bool, acknowledged int64) {
+func (link *link) update(occupied, frequent bool, acknowledged int64) {
 	link.mu.Lock()
 	changed := occupied && !link.occupied || acknowledged > link.acknowledged
-	link.occupied, link.mixed = occupied, mixed
+	link.occupied, link.frequent = occupied, frequent
 	link.acknowledged = max(link.acknowledged, acknowledged)
 	link.mu.Unlock()
 	if changed {
@@ -175,8 +175,8 @@
 	occupied := link.occupied && !link.unresponsive
 	if occupied && link.responded {
 		order.Wait = pollWait
-		if link.mixed {
-			order.Wait = mixedPollWait
+		if link.frequent {
+			order.Wait = frequentPollWait
 		}
 	}
 	if link.acknowledged > link.acknowledgedSent && !link.unresponsive {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -217,8 +217,8 @@
 	delete(loop.claims, key)
 }
 
-// place records the placement of a unit and sends its start orders once the record is stored.
-func (loop *dispatcher) place(candidate candidate, places []fleet.WorkerID) {
+// place records the placement of a unit and sends its start orders once the record is stored. It returns the runs.
+func (loop *dispatcher) place(candidate candidate, places []fleet.WorkerID) []*run {
 	job, unit, step := candidate.job, candidate.unit, candidate.step()
 	locations := make([]progress.Location, len(places))
 	for i, id := range places {
@@ -228,6 +228,7 @@
 	number := job.record.Place(unit, locations)
 	crossRack := loop.crossRack(step, places)
 	loop.markDirty(job)
+	runs := make([]*run, len(unit.Tasks))
 	for i, index := range unit.Tasks {
 		known := loop.workers[places[i]]
 		placed := &run{
@@ -236,6 +237,7 @@
 			crossRack: crossRack, share: fullShare,
 		}
 		known.add(placed)
+		runs[i] = placed
 		order := StartOrder{
 			Task: placed.task, Run: number, Payload: job.Payload, Checkpoint: tasks[index].Checkpoint,
 			Ticket: loop.advice.ticket(candidate.stepID(), known, loop.clock()),
@@ -246,6 +248,7 @@
 	loop.Logger.Info("unit placed", "job", string(job.ID), "occurrence", unit.Occurrence, "step", unit.Step,
 		"tasks", len(places), "run", int(number), "workers", distinct(places), "gang", step.Gang,
 		"priority", int(job.policy.Priority), "waited_ms", time.Since(candidate.waitingSince).Milliseconds())
+	return runs
 }
 
 func distinct(places []fleet.WorkerID) []fleet.WorkerID {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -81,7 +81,7 @@
 	planner := &planner{loop: loop, now: loop.clock(), pools: map[fleet.ServiceName]*servicePool{}}
 	for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
 		worker := loop.workers[id]
-		if !worker.usable(planner.now) {
+		if !worker.usable(planner.now) || worker.isolating() {
 			continue
 		}
 		entry := worker.entry
@@ -173,6 +173,10 @@
 			planner.startClaimed(candidate, claim)
 			continue
 		}
+		if planner.isolated(candidate) {
+			planner.startIsolated(candidate)
+			continue
+		}
 		if noFit && len(planner.loop.claims) == 0 {
 			return
 		}
@@ -192,7 +196,7 @@
 	}
 	wanted := placement.DemandOf(candidate.step(), len(candidate.unit.Tasks))
 	wanted.Restricted = candidate.advised()
-	wanted.PreferProven = candidate.failures() > 0
+	wanted.PreferProven = candidate.failures() > 0 || candidate.suspected()
 	if planner.awaitsAdvice(pool, wanted, candidate) {
 		return false
 	}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -1,8 +1,11 @@
 package control
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
@@ -119,6 +122,10 @@
 // stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
 func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
 	token := worker.link.currentToken() + 1
+	if entry.Incarnation > worker.entry.Incarnation {
+		worker.markFailing(loop.clock(), false)
+		loop.attributeCrash(worker, true)
+	}
 	loop.Logger.Info("worker restarted", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
 		"former", int64(worker.entry.Incarnation), "runs", len(worker.runs))
 	worker.link.cancel()
@@ -166,10 +173,13 @@
 		}
 		return
 	case RefusedIncarnation:
+		worker.markFailing(loop.clock(), false)
+		loop.attributeCrash(worker, true)
 		for _, run := range worker.runs {
 			loop.endRun(run, progress.RunLost, "", "another incarnation of the worker responded")
 		}
 	}
+	worker.markFailing(loop.clock(), !errors.Is(err, context.DeadlineExceeded))
 	if !worker.unresponsive {
 		worker.unresponsive = true
 		loop.Logger.Warn("worker does not answer", "worker", string(link.entry.ID), "runs", len(worker.runs),
@@ -185,6 +195,7 @@
 
 // expireRuns ends the runs of a worker on which every lease has expired.
 func (loop *dispatcher) expireRuns(worker *worker) {
+	loop.attributeCrash(worker, false)
 	for _, run := range worker.runs {
 		loop.endRun(run, progress.RunLeaseExpired, "", "leases on the worker have expired")
 	}
@@ -203,6 +214,7 @@
 		loop.beginIncarnation(worker, entry)
 		return
 	}
+	worker.lastHeard = loop.clock()
 	if worker.unresponsive {
 		worker.unresponsive = false
 		loop.Logger.Info("worker answers again", "worker", string(link.entry.ID))
@@ -299,6 +311,10 @@
 			continue
 		}
 		known.job.record.SetCheckpoint(known.job.Job, known.task, known.number, status.Checkpoint)
+		if known.firstListed == 0 {
+			known.firstListed = loop.clock()
+		}
+		loop.clearSuspicion(known, sent)
 		verdicts[known] = known.assess(listing.Clock, status.Percent)
 		listed = append(listed, known)
 	}
@@ -425,7 +441,7 @@
 		return
 	}
 	if err == nil {
-		placed.listedAfter = loop.clock()
+		placed.listedAfter, placed.confirmedAt = loop.clock(), loop.clock()
 		worker.link.notify()
 		return
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,6 +30,8 @@
 	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
 	bestSpeeds map[runKind]speed
+	// suspectedSince has, for each task under which a worker crashed in this term, the time of the latest crash.
+	suspectedSince map[workload.TaskID]time.Duration
 	// moves counts how often each task was moved off a slow worker in this term.
 	moves map[workload.TaskID]int
 }
@@ -97,6 +99,18 @@
 	speeds   speedTracker
 	// crossRack is set if the run's data or a member of its gang is in another rack, which slows the run down.
 	crossRack bool
+	// confirmedAt is the time at which the worker responded to the start; 0 if it did not.
+	confirmedAt time.Duration
+	// survived is set once a listing has shown that the run works for long enough to be above suspicion if its worker
+	// crashes.
+	survived bool
+	// firstListed is the time of the first listing that contained the run, and cleared is set once later listings have
+	// shown that it went on working.
+	firstListed time.Duration
+	cleared     bool
+	// isolated is set for a run that has its worker to itself until it is cleared, because workers crashed under earlier
+	// runs of its task.
+	isolated bool
 	// listedAfter is the local time after which a requested listing must contain the run or its end. It is 0 while that
 	// time is unknown, before the worker has responded to the start or the stop of the run.
 	listedAfter time.Duration
@@ -119,7 +133,15 @@
 	settled bool
 	// unresponsive is set while polls of the worker fail.
 	unresponsive bool
-	runs         map[workload.TaskID]*run
+	// failingSince is the time at which the worker last stopped answering, or was found to have restarted. It is valid if
+	// everFailed is set.
+	failingSince time.Duration
+	everFailed   bool
+	// failedPromptly is set if the failure was noticed at once, and unexplained if no run had just started then.
+	failedPromptly, unexplained bool
+	// lastHeard is the time of the worker's last response to a poll.
+	lastHeard time.Duration
+	runs      map[workload.TaskID]*run
 	// used is the capacity of all runs, including those that are stopping.
 	used workload.Resources
 	// reserved is the capacity that claims reserve on the worker.
@@ -184,6 +206,6 @@
 // updateLink passes the state of the worker that polls depend on to the worker's link.
 func (worker *worker) updateLink() {
 	if worker.link != nil {
-		worker.link.update(len(worker.runs) > 0, worker.mixed(), worker.acknowledgeable())
+		worker.link.update(len(worker.runs) > 0, worker.mixed() || worker.isolating(), worker.acknowledgeable())
 	}
 }
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -31,8 +31,8 @@
 	// shareChangeDelay is the time until a change of the share shows in listings: workers report a value over the last
 	// half second, and take a tenth of a second to change a share.
 	shareChangeDelay = 650 * time.Millisecond
-	// mixedPollWait is how long a worker with both serving and best-effort runs keeps a poll open.
-	mixedPollWait = 250 * time.Millisecond
+	// frequentPollWait is how long a worker that is polled at short intervals keeps a poll open.
+	frequentPollWait = 250 * time.Millisecond
 )
 
 // ThrottleOrder sets the share of the time for which a run may work.
--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -78,6 +78,8 @@
 	// FailedRun is the number of the latest run that was counted in Failures. It ensures that a run of a gang counts
 	// only once when several members fail.
 	FailedRun RunNumber `json:"failed_run,omitempty"`
+	// Crashes counts the workers that crashed under the task since a run of it last went on working.
+	Crashes Crashes `json:"crashes,omitzero"`
 }
 
 // Step is the progress of one step of one occurrence.
