Do not send a start to a worker whose capacity has shrunk since it was placed

A worker was brought over its capacity (LIMIT): a run was placed there, its record could not be stored for 8 s, and meanwhile the worker published a smaller capacity. The start was sent once the record was stored, by the decision of before. The capacity is checked again when a start is sent, as the worker's incarnation and draining were already.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -425,6 +425,10 @@
 		loop.endRun(placed, progress.RunLost, "", "not started")
 		return
 	}
+	if worker.overCapacity() {
+		loop.endRun(placed, progress.RunLost, "", "not started: the capacity of the worker has shrunk")
+		return
+	}
 	placed.startSent, placed.startedAt = true, loop.clock()
 	link := placed.link
 	loop.group.Go(func() error {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -178,6 +178,9 @@
 	return true
 }
 
+// overCapacity reports whether the placed runs need more than the worker has. Its capacity may shrink at any time.
+func (worker *worker) overCapacity() bool { return !worker.entry.Capacity.Covers(worker.used) }
+
 // acknowledgeable returns the number up to which the worker may discard all ends.
 func (worker *worker) acknowledgeable() int64 {
 	acknowledgeable := worker.lastEnd
