Drop a claim that a worker has become too small for

An urgent job waited without an end for capacity that it had claimed by preemption, on a worker that shrank before the preempted runs had stopped, and kept the rest of its claim from others. A claim is dropped once a worker of it is too small for its claims and for the runs that go on there; the next plan looks for other capacity.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -185,7 +185,8 @@
 	return groups
 }
 
-// dropClaims frees the capacity claimed for units that no longer wait, or on workers that are no longer usable.
+// dropClaims frees the capacity claimed for units that no longer wait, or on workers that are no longer usable or have
+// become too small.
 func (loop *dispatcher) dropClaims(groups []group) {
 	if len(loop.claims) == 0 {
 		return
@@ -199,7 +200,7 @@
 	for key, claim := range loop.claims {
 		lost := slices.ContainsFunc(claim.places, func(id fleet.WorkerID) bool {
 			worker := loop.workers[id]
-			return worker == nil || !worker.usable(loop.clock())
+			return worker == nil || !worker.usable(loop.clock()) || worker.overclaimed()
 		})
 		if !waiting[key] || lost {
 			loop.dropClaim(key)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -181,6 +181,17 @@
 // overCapacity reports whether the placed runs need more than the worker has. Its capacity may shrink at any time.
 func (worker *worker) overCapacity() bool { return !worker.entry.Capacity.Covers(worker.used) }
 
+// overclaimed reports whether the worker is too small for its claims even once its stopping runs have ended.
+func (worker *worker) overclaimed() bool {
+	needed := worker.reserved
+	for _, run := range worker.runs {
+		if !run.stopping {
+			needed = needed.Add(run.need)
+		}
+	}
+	return !worker.entry.Capacity.Covers(needed)
+}
+
 // acknowledgeable returns the number up to which the worker may discard all ends.
 func (worker *worker) acknowledgeable() int64 {
 	acknowledgeable := worker.lastEnd
