--- /dev/null
+++ b/internal/control/entries.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+)
+
+// tokenStep is the distance between the tokens of two terms. Within a term, each new incarnation of a worker raises the
+// worker's token by one.
+const tokenStep = 1024
+
+// observeWorkers applies changed entries of workers. If complete is set, the changes contain all entries in the store,
+// and workers without an entry are marked as not listed.
+func (loop *dispatcher) observeWorkers(changes []keyvalue.Change, complete bool, readAt time.Time) {
+	listed := map[fleet.WorkerID]bool{}
+	for _, change := range changes {
+		id := fleet.WorkerID(change.Key[len(loop.WorkerPrefix):])
+		listed[id] = true
+		if change.Deleted {
+			loop.markUnlisted(id)
+			continue
+		}
+		entry, err := loop.DecodeWorker(change.Item)
+		if err != nil {
+			loop.Logger.Warn("invalid worker entry; the worker counts as not listed", "key", change.Key,
+				"error", err.Error())
+			loop.markUnlisted(id)
+			continue
+		}
+		entry.ReadAt = readAt
+		loop.observeWorker(entry)
+	}
+	if complete {
+		for id := range loop.workers {
+			if !listed[id] {
+				loop.markUnlisted(id)
+			}
+		}
+	}
+	loop.planNeeded = true
+}
+
+func (loop *dispatcher) markUnlisted(id fleet.WorkerID) {
+	if worker := loop.workers[id]; worker != nil && worker.listed {
+		worker.listed = false
+		loop.Logger.Info("worker no longer listed", "worker", string(id), "runs", len(worker.runs))
+	}
+}
+
+func (loop *dispatcher) observeWorker(entry WorkerEntry) {
+	known := loop.workers[entry.ID]
+	switch {
+	case known == nil:
+		known = newWorker(entry)
+		loop.workers[entry.ID] = known
+		loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
+	case known.link == nil:
+		// Runs of a former controller were restored on this worker before its entry, which has the address, was read.
+		loop.connectRestored(known, entry)
+	case entry.Incarnation < known.entry.Incarnation:
+		return
+	case entry.Incarnation > known.entry.Incarnation:
+		loop.beginIncarnation(known, entry)
+	}
+	startsDraining := entry.Draining && !known.entry.Draining
+	known.entry, known.listed = entry, true
+	if startsDraining {
+		loop.evacuate(known)
+	}
+	if known.link != nil && known.entry.Address != known.link.entry.Address {
+		loop.beginIncarnation(known, entry)
+	}
+}
+
+// drainSlack is how much longer than announced a draining worker is expected to stay.
+const drainSlack = time.Second
+
+// evacuate stops the runs of a draining worker that are not expected to end before the worker leaves. Their tasks
+// resume elsewhere from their checkpoints. Without a checkpoint a task at least starts over sooner than if it ran until
+// the worker leaves.
+func (loop *dispatcher) evacuate(draining *worker) {
+	loop.Logger.Info("worker draining", "worker", string(draining.entry.ID), "runs", len(draining.runs),
+		"remaining_ms", draining.entry.Remaining.Milliseconds())
+	for _, run := range draining.runs {
+		remaining := run.remainingTime(loop.clock())
+		if run.step().LongRunning || remaining > draining.entry.Remaining+drainSlack {
+			loop.stopRun(run, "worker is draining")
+			loop.stopGang(run)
+		}
+	}
+}
+
+// connectRestored connects a worker on which runs of a former controller were restored.
+func (loop *dispatcher) connectRestored(known *worker, entry WorkerEntry) {
+	loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
+	for _, run := range known.runs {
+		run.link = known.link
+		if run.stopping {
+			loop.sendStop(run)
+		}
+	}
+}
+
+func (loop *dispatcher) connect(worker *worker, entry WorkerEntry, token Token, formerLeasesUntil time.Duration) {
+	worker.entry = entry
+	worker.settled, worker.unresponsive = false, false
+	worker.lastEnd, worker.unstoredEnds = 0, map[int64]bool{}
+	worker.link = newLink(loop.ctx, loop, entry, token, formerLeasesUntil)
+	worker.updateLink()
+}
+
+// beginIncarnation replaces the link to a worker that has restarted or whose address has changed. The new link has a
+// higher token, so that the worker refuses delayed orders of the old link. A start that the old link sent may still
+// have reached the new incarnation. Therefore only the first listing under the new token shows which runs are lost, and
+// stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
+func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
+	token := worker.link.currentToken() + 1
+	if entry.Incarnation > worker.entry.Incarnation {
+		worker.markFailing(loop.clock(), false)
+		loop.attributeCrash(worker, true)
+	}
+	loop.Logger.Info("worker restarted", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
+		"former", int64(worker.entry.Incarnation), "runs", len(worker.runs))
+	worker.link.cancel()
+	loop.connect(worker, entry, token, loop.clock()+loop.FormerLeaseLimit)
+	for _, run := range worker.runs {
+		if !run.startSent {
+			loop.endRun(run, progress.RunLost, "", "not started: worker restarted")
+			continue
+		}
+		run.link, run.listedAfter = worker.link, loop.clock()-1
+		if run.stopping {
+			loop.sendStop(run)
+		}
+	}
+}
+
+// addRestored adds a run of a former controller to the run's worker. If the worker's entry has not been read yet, it
+// adds the worker without a link.
+func (loop *dispatcher) addRestored(placed *run, at progress.Location) {
+	known := loop.workers[at.Worker]
+	if known == nil {
+		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation})
+		loop.workers[at.Worker] = known
+	}
+	placed.link, placed.share = known.link, unknownShare
+	if placed.bestEffort() {
+		known.throttle.share = restoredShare
+	}
+	known.add(placed)
+	known.updateLink()
+}
