Judge the cause of a crash once, when it is noticed

A worker whose failure was noticed only once it had restarted was noted twice: the second time its runs had been ended, so that the crash counted as one without a suspect. Such crashes show another cause, so that crashes of other workers in the next second were not counted as lone, and a task that crashes workers got up to two starts more than needed, within the limit.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -19,20 +19,21 @@
 	if worker == nil || worker.link != link {
 		return
 	}
-	switch refusalOf(err) {
-	case RefusedToken:
+	refusal := refusalOf(err)
+	if refusal == RefusedToken {
 		if !link.stale(err, token) {
 			loop.superseded(link.entry.ID, token)
 		}
 		return
-	case RefusedIncarnation:
-		worker.markFailing(loop.clock(), false)
+	}
+	promptly := refusal == "" && !errors.Is(err, context.DeadlineExceeded)
+	worker.markFailing(loop.clock(), promptly)
+	if refusal == RefusedIncarnation {
 		loop.attributeCrash(worker, true)
 		for _, run := range worker.runs {
 			loop.endRun(run, progress.RunLost, "", "another incarnation of the worker responded")
 		}
 	}
-	worker.markFailing(loop.clock(), !errors.Is(err, context.DeadlineExceeded))
 	if !worker.unresponsive {
 		worker.unresponsive = true
 		loop.Logger.Warn("worker does not answer", "worker", string(link.entry.ID), "runs", len(worker.runs),
