--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,8 +45,9 @@
 type Relay struct {
 	// Local serves requests in this process.
 	Local http.Handler
-	// StoreLost reports whether this process cannot reach the store.
-	StoreLost func() bool
+	// CutOff reports whether other processes should serve the callers of this one, because it cannot reach the store or
+	// because its configuration is outdated.
+	CutOff func() bool
 	// ConfigRevision returns the revision of the configuration in force in this process.
 	ConfigRevision func() int64
 	// Peers returns the addresses at which other processes serve forwarded requests.
@@ -78,7 +79,7 @@
 		relay.serveLocally(writer, call)
 		return
 	}
-	if relay.StoreLost() || relay.configOutdated() {
+	if relay.CutOff() || relay.configOutdated() {
 		relay.serveThroughPeer(writer, call, body)
 		return
 	}
@@ -279,8 +280,9 @@
 // the store or has an older configuration than the process that forwarded the request. It never forwards a request
 // itself, which prevents forwarding loops.
 type PeerHandler struct {
-	Local          http.Handler
-	StoreLost      func() bool
+	Local http.Handler
+	// CutOff is as for Relay.
+	CutOff         func() bool
 	ConfigRevision func() int64
 }
 
@@ -288,7 +290,7 @@
 func (handler PeerHandler) ServeHTTP(writer http.ResponseWriter, call *http.Request) {
 	wrapped := &revisionWriter{ResponseWriter: writer, revision: handler.ConfigRevision}
 	minRevision, err := strconv.ParseInt(call.Header.Get(revisionHeader), 10, 64)
-	if err != nil || handler.StoreLost() || handler.ConfigRevision() < minRevision {
+	if err != nil || handler.CutOff() || handler.ConfigRevision() < minRevision {
 		wrapped.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -62,7 +62,7 @@
 			writer.WriteHeader(http.StatusTeapot)
 			_, _ = writer.Write(body)
 		}),
-		StoreLost: func() bool { return lost },
+		CutOff: func() bool { return lost },
 		Peers: func() []string {
 			var addresses []string
 			for address := range peers.statuses {
@@ -243,7 +243,7 @@
 	peers := &fakePeers{statuses: map[string]peerStatus{"a": 200}, revision: 37}
 	lost, own := true, int64(20)
 	relay := newTestRelay(peers, true)
-	relay.StoreLost, relay.ConfigRevision = func() bool { return lost }, func() int64 { return own }
+	relay.CutOff, relay.ConfigRevision = func() bool { return lost }, func() int64 { return own }
 	steps := []struct {
 		name   string
 		change func()
@@ -286,7 +286,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			revision := int64(20)
 			handler := PeerHandler{
-				StoreLost: func() bool { return test.lost }, ConfigRevision: func() int64 { return revision },
+				CutOff: func() bool { return test.lost }, ConfigRevision: func() int64 { return revision },
 				Local: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 					revision = test.refreshed
 					writer.WriteHeader(http.StatusTeapot)
