Isolate a gang whichever member a worker crashed under

A suspected gang started beside other jobs at once, unless its first member had been on the crashed worker: the time of the suspicion was kept under the member, and looked up under the first one. Found by reading. TestSuspectedGangIsIsolated failed before, and passes since.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -103,8 +103,12 @@
 	worker.unexplained = len(worker.suspects()) == 0
 }
 
-// suspectedAt records when a task fell under suspicion in this term.
+// suspectedAt records when the unit of a task fell under suspicion in this term.
 func (job *job) suspectedAt(id workload.TaskID, now time.Duration) {
+	if job.Steps[id.Step].Gang {
+		// The first member identifies a gang; see candidate.key.
+		id.Index = 0
+	}
 	if job.suspectedSince == nil {
 		job.suspectedSince = map[workload.TaskID]time.Duration{}
 	}
--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
 // TestCrashIsExplainedByItsRun guards against a crash that counts as one without a suspect because the worker had already
@@ -39,3 +43,25 @@
 		})
 	}
 }
+
+// TestSuspectedGangIsIsolated guards against a gang that starts beside other jobs although a worker has crashed under a
+// member of it that is not the first.
+func TestSuspectedGangIsIsolated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		loop := newTestLoop(t, 2)
+		job := loop.submit(1, workload.Step{
+			Tasks: 2, Gang: true, Estimate: time.Second,
+			Each: workload.Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 5},
+		})
+		unit := progress.Unit{Tasks: []int{0, 1}}
+		run := job.record.Place(unit, make([]progress.Location, 2))
+		loop.started = loop.clock() - isolationWait
+		member := workload.TaskID{Job: job.ID, Index: 1}
+		job.record.CountCrash(job.Job, member, run, false)
+		job.suspectedAt(member, loop.clock())
+		planner := newPlanner(loop.dispatcher)
+		if !planner.isolated(candidate{job: job, unit: unit}) {
+			t.Error("a gang under which a worker has just crashed may start beside other jobs")
+		}
+	})
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -30,7 +30,8 @@
 	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
 	bestSpeeds map[runKind]speed
-	// suspectedSince has, for each task under which a worker crashed in this term, the time of the latest crash.
+	// suspectedSince has, for the first task of each unit under which a worker crashed in this term, the time of the latest
+	// crash.
 	suspectedSince map[workload.TaskID]time.Duration
 	// moves counts how often each task was moved off a slow worker in this term.
 	moves map[workload.TaskID]int
