Ask a lost worker's address whether it has restarted

What callers saw: tasks whose worker was lost together with the controller waited up to 16 s before they ran again, since the new controller found no entry of the worker and waited for the longest lease that may exist.

Cause: the record of a task names its worker, but not where it can be reached, so that what the former controller knew was lost with it.

Evidence: TestWorkerLostWithAllProcesses fails on the code before (four jobs still running after 12 s) and passes now.

The record keeps the worker's address. If the worker has no entry, the controller asks there; the answer of another incarnation proves that the runs have ended.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -37,12 +37,28 @@
 		for id := range loop.workers {
 			if !listed[id] {
 				loop.markUnlisted(id)
+				loop.askForIncarnation(id)
 			}
 		}
 	}
 	loop.planNeeded = true
 }
 
+// askForIncarnation polls a worker without an entry on which runs of a former controller were restored, at the address
+// that it had then. If another incarnation responds there, the runs have certainly ended. Otherwise they end with the
+// longest lease that a former controller may have granted.
+func (loop *dispatcher) askForIncarnation(id fleet.WorkerID) {
+	known := loop.workers[id]
+	if known.link != nil || known.entry.Address == "" {
+		return
+	}
+	entry := known.entry
+	entry.ReadAt = time.Now()
+	loop.Logger.Info("restored worker has no entry; asking at its former address", "worker", string(id),
+		"runs", len(known.runs))
+	loop.connectRestored(known, entry)
+}
+
 func (loop *dispatcher) markUnlisted(id fleet.WorkerID) {
 	if worker := loop.workers[id]; worker != nil && worker.listed {
 		worker.listed = false
@@ -143,7 +159,7 @@
 func (loop *dispatcher) addRestored(placed *run, at progress.Location) {
 	known := loop.workers[at.Worker]
 	if known == nil {
-		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation})
+		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation, Address: at.Address})
 		loop.workers[at.Worker] = known
 	}
 	placed.link, placed.share = known.link, unknownShare
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -36,9 +36,9 @@
 	ReadAt time.Time
 }
 
-// location returns the worker and its incarnation.
+// location returns the worker, its incarnation and its address.
 func (entry WorkerEntry) location() progress.Location {
-	return progress.Location{Worker: entry.ID, Incarnation: entry.Incarnation}
+	return progress.Location{Worker: entry.ID, Incarnation: entry.Incarnation, Address: entry.Address}
 }
 
 // StartOrder starts a run.
--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -62,6 +62,9 @@
 type Location struct {
 	Worker      fleet.WorkerID `json:"worker_id,omitempty"`
 	Incarnation Incarnation    `json:"incarnation,omitempty"`
+	// Address is where the worker took orders. A controller that no longer finds the worker's entry can ask there whether
+	// the incarnation still exists.
+	Address string `json:"address,omitempty"`
 }
 
 // Task records how far one task has come: its phase, latest run, worker, checkpoint and failures.
