Check the token of a refused order only where the link may have been replaced

The token of a link never changes, so that the check could not fail where a link handles its own order. It matters for the outcomes of starts and stops whose run has meanwhile moved to the link of a new incarnation; the name now says so. No change in behaviour.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -133,7 +133,7 @@
 // have reached the new incarnation. Therefore only the first listing under the new token shows which runs are lost, and
 // stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
 func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
-	token := worker.link.currentToken() + 1
+	token := worker.link.token + 1
 	if entry.Incarnation > worker.entry.Incarnation {
 		worker.markFailing(loop.clock(), false)
 		loop.attributeCrash(worker, true)
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -13,13 +13,13 @@
 type link struct {
 	loop  *dispatcher
 	entry WorkerEntry
+	token Token
 	// ctx ends with the link and cancels its calls.
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
 
-	mu    sync.Mutex
-	token Token
+	mu sync.Mutex
 	// clock is a lower bound of the worker's clock at the local time clockAt.
 	clock   WorkerClock
 	clockAt time.Duration
@@ -99,12 +99,6 @@
 	}
 }
 
-func (link *link) currentToken() Token {
-	link.mu.Lock()
-	defer link.mu.Unlock()
-	return link.token
-}
-
 // update sets the fields of the link that determine when it polls and with which order, and wakes the link if the
 // change requires a poll.
 func (link *link) update(occupied, frequent bool, acknowledged int64) {
@@ -263,7 +257,7 @@
 	attempts := 0
 	for attempts < maxStartAttempts {
 		attempts++
-		order.Deadline, order.Token = link.deadline(), link.currentToken()
+		order.Deadline, order.Token = link.deadline(), link.token
 		ctx, cancel := context.WithTimeout(link.ctx, time.Duration(attempts)*startTimeout)
 		var clock WorkerClock
 		clock, err = link.loop.Workers.Start(ctx, link.entry, order)
@@ -274,30 +268,31 @@
 		if err == nil {
 			link.recordClock(clock)
 		}
-		if err == nil || refusalOf(err) != "" && !link.stale(err, order.Token) {
+		if err == nil || refusalOf(err) != "" {
 			break
 		}
 	}
 	link.loop.post(func(loop *dispatcher) { loop.handleStartOutcome(run, order.Token, attempts, err) })
 }
 
-// stale reports whether the worker refused an order because of its token, and the token is lower than the link's own.
-func (link *link) stale(err error, token Token) bool {
-	return refusalOf(err) == RefusedToken && token < link.currentToken()
+// refusedForLaterTerm reports whether the worker refused an order of this link because it has seen the token of a later
+// term. An order with another token was sent by the link that this one has replaced, for a former incarnation.
+func (link *link) refusedForLaterTerm(err error, token Token) bool {
+	return refusalOf(err) == RefusedToken && token == link.token
 }
 
 // stop sends the stop of a run until the worker responds or the run has ended.
 func (link *link) stop(run *run) {
 	for link.ctx.Err() == nil && !run.ended.Load() {
-		token := link.currentToken()
+		order := StopOrder{Task: run.task, Run: run.number, Token: link.token}
 		ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
-		clock, err := link.loop.Workers.Stop(ctx, link.entry, StopOrder{Task: run.task, Run: run.number, Token: token})
+		clock, err := link.loop.Workers.Stop(ctx, link.entry, order)
 		cancel()
 		if err == nil {
 			link.recordClock(clock)
 		}
-		if err == nil || refusalOf(err) != "" && !link.stale(err, token) {
-			link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, token, err) })
+		if err == nil || refusalOf(err) != "" {
+			link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, link.token, err) })
 			return
 		}
 		_ = lifecycle.Sleep(link.ctx, stopRetry)
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -21,9 +21,7 @@
 	}
 	refusal := refusalOf(err)
 	if refusal == RefusedToken {
-		if !link.stale(err, token) {
-			loop.superseded(link.entry.ID, token)
-		}
+		loop.superseded(link.entry.ID, token)
 		return
 	}
 	promptly := refusal == "" && !errors.Is(err, context.DeadlineExceeded)
@@ -316,7 +314,7 @@
 		worker.health.Pause(loop.clock(), refusalPause)
 	}
 	switch {
-	case refusal == RefusedToken && !placed.link.stale(err, token):
+	case placed.link.refusedForLaterTerm(err, token):
 		loop.superseded(worker.entry.ID, token)
 	case refusal == "" || refusal == RefusedToken || refusal == RefusedStaleRun || attempts > 1:
 		// The run may exist or have ended. Only a listing after a stop, or the expiry of the lease, shows which.
@@ -329,7 +327,7 @@
 // handleStopOutcome handles the outcome of a stop. A listing that is requested from now on and does not contain the run
 // proves that the run has ended.
 func (loop *dispatcher) handleStopOutcome(run *run, token Token, err error) {
-	if refusalOf(err) == RefusedToken && !run.link.stale(err, token) {
+	if run.link.refusedForLaterTerm(err, token) {
 		loop.superseded(run.link.entry.ID, token)
 		return
 	}
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -146,7 +146,7 @@
 func (link *link) throttle(run *run, share Share) error {
 	ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
 	defer cancel()
-	order := ThrottleOrder{Task: run.task, Run: run.number, Share: share, Token: link.currentToken()}
+	order := ThrottleOrder{Task: run.task, Run: run.number, Share: share, Token: link.token}
 	clock, err := link.loop.Workers.Throttle(ctx, link.entry, order)
 	if err == nil {
 		link.recordClock(clock)
