--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -240,9 +240,7 @@
 }
 
 func (loop *dispatcher) list(prefix string) ([]keyvalue.Item, error) {
-	ctx, cancel := context.WithTimeout(loop.ctx, listTimeout)
-	defer cancel()
-	items, _, err := loop.Store.List(ctx, prefix)
+	items, _, err := loop.Store.List(loop.ctx, prefix)
 	if items == nil {
 		items = []keyvalue.Item{}
 	}
@@ -253,8 +251,6 @@
 }
 
 const (
-	// listTimeout is the timeout of a listing with all its pages.
-	listTimeout = 3 * time.Second
 	// jobWatchInterval is the minimum interval between two watch calls for jobs.
 	jobWatchInterval = 40 * time.Millisecond
 	// watchWait limits the duration of one watch call, and with it the time until a dead connection is noticed.
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -21,8 +21,8 @@
 	Apply func(changes []Change, full bool)
 	// Interval is the minimum time between two watch calls, so that one call returns many changes.
 	Interval time.Duration
-	// Wait is the maximum time that the store holds a watch call open. An unresponsive connection is detected
-	// watchSlack after this time.
+	// Wait is the maximum time that the store holds a watch call open. An unresponsive connection is detected some time
+	// after that.
 	Wait time.Duration
 	// RetryPause is the delay before the retry of a failed call.
 	RetryPause time.Duration
@@ -37,14 +37,6 @@
 	storeLost   bool
 }
 
-// watchSlack is added to the wait of a watch call to get its timeout. Without a response by then, the connection counts
-// as unresponsive.
-const watchSlack = 700 * time.Millisecond
-
-// listTimeout limits a listing with all its pages, so that a listing on an unresponsive connection fails and is
-// retried.
-const listTimeout = 2 * time.Second
-
 // LastContact returns the time of the store's last response, or the zero time if it has not responded yet.
 func (mirror *Mirror) LastContact() time.Time {
 	if at := mirror.lastContact.Load(); at != 0 {
@@ -75,10 +67,8 @@
 
 func (mirror *Mirror) list(ctx context.Context) (Revision, error) {
 	for {
-		bounded, cancel := context.WithTimeout(ctx, listTimeout)
 		sentAt := mirror.now()
-		items, after, err := mirror.Store.List(bounded, mirror.Prefix)
-		cancel()
+		items, after, err := mirror.Store.List(ctx, mirror.Prefix)
 		if err == nil {
 			changes := make([]Change, len(items))
 			for i, item := range items {
@@ -105,10 +95,8 @@
 			// With a wait of 0 the store responds at once, so that its recovery is detected as early as possible.
 			wait = 0
 		}
-		bounded, cancel := context.WithTimeout(ctx, wait+watchSlack)
 		sentAt := mirror.now()
-		changes, next, err := mirror.Store.Watch(bounded, mirror.Prefix, after, wait)
-		cancel()
+		changes, next, err := mirror.Store.Watch(ctx, mirror.Prefix, after, wait)
 		if err == nil {
 			mirror.recordContact()
 			if len(changes) > 0 {
