--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -106,7 +106,6 @@
 	if !ok || item.Revision == condition.Revision {
 		return condition, nil
 	}
-	gateway.Configuration.Observe(item)
 	admitted, err := gateway.admit(ctx, request)
 	return admitted.condition, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,10 +54,8 @@
 type ConfigurationSource interface {
 	// Current returns the newest configuration that was read, or false if none was read yet.
 	Current() (Configuration, bool)
-	// Refresh reads the configuration from the store.
+	// Refresh makes sure that the newest configuration in the store is the current one.
 	Refresh(ctx context.Context) error
-	// Observe takes the configuration from a response of the store, which may be older than the current one.
-	Observe(item keyvalue.Item)
 }
 
 // Request holds the properties that all requests of callers have.
@@ -70,6 +68,7 @@
 
 // Gateway handles the requests of callers. Its exported fields are set before the first call.
 type Gateway struct {
+	// Store passes configurations that it returns with conflicts on to Configuration.
 	Store         keyvalue.Store
 	Configuration ConfigurationSource
 	Statuses      *ledger.StatusCache
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -26,11 +26,7 @@
 	Wait time.Duration
 	// RetryPause is the delay before the retry of a failed call.
 	RetryPause time.Duration
-	// Confirm is called after each successful call and after Apply. At the time at, a reading of Clock, the store had no
-	// changes under the prefix that have not been passed to Apply. If Confirm is nil, Clock is not needed.
-	Confirm func(at time.Duration)
-	Clock   func() time.Duration
-	Logger  hclog.Logger
+	Logger     hclog.Logger
 
 	lastContact atomic.Int64
 	synced      atomic.Bool
@@ -67,7 +63,6 @@
 
 func (mirror *Mirror) list(ctx context.Context) (Revision, error) {
 	for {
-		sentAt := mirror.now()
 		items, after, err := mirror.Store.List(ctx, mirror.Prefix)
 		if err == nil {
 			changes := make([]Change, len(items))
@@ -76,7 +71,6 @@
 			}
 			mirror.Apply(changes, true)
 			mirror.recordContact()
-			mirror.confirm(sentAt)
 			mirror.synced.Store(true)
 			return after, nil
 		}
@@ -95,16 +89,12 @@
 			// With a wait of 0 the store responds at once, so that its recovery is detected as early as possible.
 			wait = 0
 		}
-		sentAt := mirror.now()
 		changes, next, err := mirror.Store.Watch(ctx, mirror.Prefix, after, wait)
 		if err == nil {
 			mirror.recordContact()
 			if len(changes) > 0 {
 				mirror.Apply(changes, false)
-				wait = 0
 			}
-			// Without changes, the store held the call for the whole wait.
-			mirror.confirm(min(sentAt+wait, mirror.now()))
 			return max(next, after), nil
 		}
 		if errors.Is(err, ErrCompacted) {
@@ -126,19 +116,6 @@
 	return lifecycle.Sleep(ctx, mirror.RetryPause)
 }
 
-func (mirror *Mirror) now() time.Duration {
-	if mirror.Clock == nil {
-		return 0
-	}
-	return mirror.Clock()
-}
-
-func (mirror *Mirror) confirm(at time.Duration) {
-	if mirror.Confirm != nil {
-		mirror.Confirm(at)
-	}
-}
-
 func (mirror *Mirror) recordContact() {
 	mirror.lastContact.Store(time.Now().UnixNano())
 	if mirror.storeLost {
