Take a conflict with a large configuration for what it is

Cause: the conflict of a transaction carries the items of all its conditions, the whole configuration among them. The call ended before they had arrived, and then its outcome counted as unknown.

Evidence: TestCancellationWhileConfigurationChanges and TestConflictWithLargeConfiguration fail on the code before (503 after the caller's deadline; 504 for each of eight submissions and for the repeated one) and pass now.

The status of the response says that nothing was applied. A submission then brings the configuration up to date and looks whether its job is stored. A cancellation goes on under a configuration of known age, like a query. A submission whose attempts all had a known outcome is refused as not run.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -42,11 +42,19 @@
 			submission.outcomeUnknown = true
 		}
 		if pauseBeforeRetry(ctx) != nil {
-			return fault.New(fault.AnswerLost, "the job may have been stored: %v", err)
+			return submission.giveUp(err)
 		}
 	}
 }
 
+// giveUp returns the error for a job that no attempt has certainly stored in time.
+func (submission *submission) giveUp(cause error) error {
+	if submission.outcomeUnknown {
+		return fault.New(fault.AnswerLost, "the job may have been stored: %v", cause)
+	}
+	return fault.New(fault.StoreUnavailable, "%v", cause).WithRetryAfter(storeRetryAfter)
+}
+
 // attempt makes one attempt to write the job and its status. A retry is safe, because the write requires that the job's
 // key does not exist.
 func (submission *submission) attempt(ctx context.Context) error {
@@ -62,7 +70,7 @@
 		},
 	})
 	if conflict := (*keyvalue.ConflictError)(nil); errors.As(err, &conflict) {
-		return submission.resolve(bounded, conflict)
+		return submission.resolve(ctx, conflict)
 	}
 	if err == nil {
 		submission.gateway.Statuses.Update(id, ledger.StatusEntry{Status: submission.status, Revision: revision})
@@ -74,27 +82,54 @@
 // again under the newest one, before anything else is decided. resolve returns nil if the same job is stored already, for
 // example by an earlier attempt, and errConfigChanged if the write is to be retried.
 func (submission *submission) resolve(ctx context.Context, conflict *keyvalue.ConflictError) error {
-	if err := submission.followConfiguration(ctx, conflict); err != nil {
-		return err
+	if conflict.Incomplete {
+		return submission.resolveIncomplete(ctx)
+	}
+	condition, err := submission.gateway.followConfiguration(ctx, submission.request, submission.condition, conflict)
+	if err != nil {
+		return submission.refused(err)
+	}
+	submission.condition = condition
+	if item, ok := conflict.Current(ledger.JobKey(submission.job.ID)); ok {
+		return submission.compare(item)
+	}
+	return errConfigChanged
+}
+
+// resolveIncomplete does what resolve does if the items of the conflict have not been received.
+func (submission *submission) resolveIncomplete(ctx context.Context) error {
+	gateway := submission.gateway
+	if gateway.refresh(ctx) != nil {
+		return errConfigChanged
+	}
+	admitted, err := gateway.admit(ctx, submission.request)
+	if err != nil {
+		return submission.refused(err)
 	}
-	item, ok := conflict.Current(ledger.JobKey(submission.job.ID))
-	switch {
-	case !ok:
+	submission.condition = admitted.condition
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	item, err := gateway.Store.Get(bounded, ledger.JobKey(submission.job.ID))
+	if err != nil {
 		return errConfigChanged
-	case sameJob(item, submission.job):
+	}
+	return submission.compare(item)
+}
+
+// compare returns nil if a stored job is the submitted one.
+func (submission *submission) compare(item keyvalue.Item) error {
+	if sameJob(item, submission.job) {
 		return nil
 	}
 	return fault.New(fault.InvalidArgument, "another job has the id %q", submission.job.ID)
 }
 
-// followConfiguration admits the request again if the conflict shows that the configuration has changed.
-func (submission *submission) followConfiguration(ctx context.Context, conflict *keyvalue.ConflictError) error {
-	condition, err := submission.gateway.followConfiguration(ctx, submission.request, submission.condition, conflict)
-	if err != nil && submission.outcomeUnknown {
-		return fault.New(fault.AnswerLost, "the job may have been stored under an older configuration: %v", err)
+// refused returns the error for a submission that a newer configuration does not admit.
+func (submission *submission) refused(cause error) error {
+	if submission.outcomeUnknown {
+		return fault.New(fault.AnswerLost, "the job may have been stored under an older configuration: %v", cause)
 	}
-	submission.condition = condition
-	return err
+	return cause
 }
 
 // followConfiguration admits a request again if the conflict shows that the configuration has changed since the request
@@ -156,14 +191,20 @@
 	entry ledger.StatusEntry
 	// condition holds as long as the configuration that admitted the request is the newest one.
 	condition keyvalue.Condition
+	// unconditional is set if the configuration changes so often that the condition may never hold.
+	unconditional bool
 }
 
 func (cancellation *cancellation) attempt(ctx context.Context) error {
 	cancelled := cancellation.entry.Status
 	cancelled.State, cancelled.Ended = progress.Cancelled, time.Now().UTC()
 	key := ledger.StatusKey(cancellation.job)
+	conditions := []keyvalue.Condition{{Key: key, Revision: cancellation.entry.Revision}}
+	if !cancellation.unconditional {
+		conditions = append(conditions, cancellation.condition)
+	}
 	revision, err := cancellation.gateway.Store.Commit(ctx, keyvalue.Txn{
-		Conditions: []keyvalue.Condition{{Key: key, Revision: cancellation.entry.Revision}, cancellation.condition},
+		Conditions: conditions,
 		Writes:     []keyvalue.Write{{Key: key, Value: ledger.Encode(cancelled)}},
 	})
 	if conflict := (*keyvalue.ConflictError)(nil); errors.As(err, &conflict) {
@@ -177,6 +218,9 @@
 
 // resolve handles an attempt whose conditions did not hold. It returns errStatusChanged if the attempt is to be retried.
 func (cancellation *cancellation) resolve(ctx context.Context, conflict *keyvalue.ConflictError) error {
+	if conflict.Incomplete {
+		return cancellation.resolveIncomplete(ctx)
+	}
 	condition, err := cancellation.gateway.followConfiguration(
 		ctx, cancellation.request, cancellation.condition, conflict)
 	if err != nil {
@@ -195,6 +239,16 @@
 	return errStatusChanged
 }
 
+// resolveIncomplete handles a conflict with a large configuration. By the time it has been received it may have changed
+// again, so that a configuration of known age is enough for the next attempt, as for a query.
+func (cancellation *cancellation) resolveIncomplete(ctx context.Context) error {
+	if _, err := cancellation.gateway.admitQuery(ctx, cancellation.request); err != nil {
+		return err
+	}
+	cancellation.unconditional = true
+	return errStatusChanged
+}
+
 func (cancellation *cancellation) update(entry ledger.StatusEntry) {
 	cancellation.entry = entry
 	cancellation.gateway.Statuses.Update(cancellation.job, entry)
--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -65,9 +65,13 @@
 	ErrNoAnswer = errors.New("no response from the store")
 )
 
-// ConflictError means that a condition of a transaction did not hold. Items are the current items of the keys in its
-// conditions; a key without an item does not exist.
-type ConflictError struct{ Items []Item }
+// ConflictError means that a condition of a transaction did not hold, so that nothing was applied.
+type ConflictError struct {
+	// Items are the current items of the keys in the conditions. A key without an item does not exist.
+	Items []Item
+	// Incomplete is set if the items have not been received, because they are large. Then Items is empty.
+	Incomplete bool
+}
 
 // Error describes the conflict.
 func (conflict *ConflictError) Error() string { return "a condition of the transaction does not hold" }
