Hold a start back while the capacity of its worker is not known

After an outage of the store of more than a few seconds, tasks started by the capacity that a worker had before it, which may have shrunk meanwhile.

Cause: a worker's entry counts as true for as long as it exists. The fix before looked at the entry again before a start is sent, but the entry itself may be of the time before the outage.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,6 +35,10 @@
 	// Catalog returns the configuration in force, or nil before the first one is loaded.
 	Catalog func() *catalog.Catalog
 	Clock   term.Clock
+	// MaxReportAge is the age of a worker's report from which on its capacity is not known. ReportsOutdated tells whether
+	// the reports in the store may be of the time before an outage that has just ended.
+	MaxReportAge    time.Duration
+	ReportsOutdated func() bool
 	// LeaseDuration is how long a worker continues a run after the last order that extends its lease.
 	LeaseDuration time.Duration
 	// FormerLeaseLimit is the longest time for which leases that a former controller granted can last after the start
@@ -296,6 +300,7 @@
 // that no longer exist and jobs whose retention has ended.
 func (loop *dispatcher) sweep() {
 	for _, worker := range loop.workers {
+		loop.dropAwaiting(worker)
 		if len(worker.runs) > 0 && loop.leasesExpired(worker) {
 			loop.expireRuns(worker)
 		}
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -30,7 +30,7 @@
 			loop.markUnlisted(id)
 			continue
 		}
-		entry.ReadAt = readAt
+		entry.Revision, entry.ReadAt = change.Revision, readAt
 		loop.observeWorker(entry)
 	}
 	if complete {
@@ -83,12 +83,16 @@
 	}
 	startsDraining := entry.Draining && !known.entry.Draining
 	known.entry, known.listed = entry, true
+	loop.recordReport(known)
 	if startsDraining {
 		loop.evacuate(known)
 	}
 	if known.link != nil && known.entry.Address != known.link.entry.Address {
 		loop.beginIncarnation(known, entry)
 	}
+	if loop.capacityKnown(known) {
+		known.sendAwaiting()
+	}
 }
 
 // drainSlack is how much longer than announced a draining worker is expected to stay.
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -38,7 +38,8 @@
 	controller := &Controller{
 		Clock:   func() time.Duration { return test.now },
 		Catalog: func() *catalog.Catalog { return nil }, Logger: hclog.NewNullLogger(),
-		Metrics: gometrics.NewRegistry(),
+		Metrics: gometrics.NewRegistry(), MaxReportAge: time.Hour,
+		ReportsOutdated: func() bool { return false },
 	}
 	test.dispatcher = newDispatcher(
 		ctx, controller, &term.Term{Token: 1, TTL: time.Second, Clock: controller.Clock}, group)
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -281,6 +281,11 @@
 		loop.endRun(placed, progress.RunLost, "", "not started: the capacity of the worker has shrunk")
 		return
 	}
+	if !loop.capacityKnown(worker) {
+		placed.awaitsReport = true
+		worker.awaitReport(loop.clock(), func() { loop.sendStart(placed, order) })
+		return
+	}
 	placed.startSent, placed.startedAt = true, loop.clock()
 	link := placed.link
 	loop.group.Go(func() error {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -100,6 +100,8 @@
 	speeds   speedTracker
 	// crossRack is set if the run's data or a member of its gang is in another rack, which slows the run down.
 	crossRack bool
+	// awaitsReport is set if the start was held back until the next report of the worker.
+	awaitsReport bool
 	// confirmedAt is the time at which the worker responded to the start; 0 if it did not.
 	confirmedAt time.Duration
 	// survived is set once a listing has shown that the run works for long enough to be above suspicion if its worker
@@ -129,6 +131,7 @@
 	// listed is set while the store has a valid entry of the worker.
 	listed bool
 	link   *link
+	report report
 	// settled is set once the worker has responded to a poll of its present link. Until then, runs that this term has
 	// neither placed nor restored may occupy the worker.
 	settled bool
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
@@ -32,6 +33,8 @@
 	Remaining time.Duration
 	// Clock is the time on the worker's clock when it wrote the entry.
 	Clock WorkerClock
+	// Revision is that of the entry in the store. It grows with each report of the worker; 0 if the entry was not read.
+	Revision keyvalue.Revision
 	// ReadAt is the local time at which this process read the entry.
 	ReadAt time.Time
 }
--- a/internal/keyvalue/monitor.go
+++ b/internal/keyvalue/monitor.go
@@ -15,8 +15,12 @@
 	mu                  sync.Mutex
 	consecutiveFailures int
 	failingSince        time.Time
+	lastOutage          Outage
 }
 
+// Outage is a time in which the store could not be reached.
+type Outage struct{ Began, Ended time.Time }
+
 const (
 	// lostFailures is the number of consecutive failed calls after which the store counts as lost.
 	lostFailures = 2
@@ -34,9 +38,20 @@
 func (monitor *Monitor) StoreLost() bool {
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
+	return monitor.lost()
+}
+
+func (monitor *Monitor) lost() bool {
 	return monitor.consecutiveFailures >= lostFailures && time.Since(monitor.failingSince) >= lostAfter
 }
 
+// LastOutage returns the latest time in which the store was lost that has ended, or the zero value.
+func (monitor *Monitor) LastOutage() Outage {
+	monitor.mu.Lock()
+	defer monitor.mu.Unlock()
+	return monitor.lastOutage
+}
+
 // recordResult counts a failed call, or resets the count after any other result. Calls that their own caller cancelled
 // are ignored, because they are not evidence of a failure of the store.
 func (monitor *Monitor) recordResult(ctx context.Context, err error) {
@@ -46,6 +61,9 @@
 	monitor.mu.Lock()
 	defer monitor.mu.Unlock()
 	if !errors.Is(err, ErrNoAnswer) && !errors.Is(err, ErrRejected) {
+		if monitor.lost() {
+			monitor.lastOutage = Outage{Began: monitor.failingSince, Ended: time.Now()}
+		}
 		monitor.consecutiveFailures = 0
 		return
 	}
