Read a small configuration at once, and let later requests wait for the read

Cause: since the newest version is followed by a Follower, a request under an unknown route waited for the watch of the process, which was silent since the store had dropped its history, until it failed. A small value can be read in 5 ms, as before. And whatever the time of the read, requests that came later were answered meanwhile by the former version.

Evidence: the log of the process (the request decided after 513 ms by the version that the read brought, the other one in between).

Only for a large value does a request wait for the watch, or ask only whether there is a newer version. While a request waits for a newer configuration, queries that arrive wait for it too.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -56,6 +56,8 @@
 	Current() (Configuration, bool)
 	// Refresh makes sure that the newest configuration in the store is the current one.
 	Refresh(ctx context.Context) error
+	// Refreshing reports whether a call of Refresh is under way.
+	Refreshing() bool
 }
 
 // Request holds the properties that all requests of callers have.
@@ -124,7 +126,10 @@
 	if !ok {
 		return admission{}, errNoConfiguration
 	}
-	if configuration.Age > gateway.MaxConfigAge && !gateway.StoreLost() && gateway.refresh(ctx) == nil {
+	// While another request waits for a newer configuration, this one waits too: it must not be answered by an older one
+	// than a request that was sent before.
+	refresh := configuration.Age > gateway.MaxConfigAge || gateway.Configuration.Refreshing()
+	if refresh && !gateway.StoreLost() && gateway.refresh(ctx) == nil {
 		configuration, _ = gateway.Configuration.Current()
 	}
 	if configuration.Age > gateway.ConfigAgeLimit {
--- a/internal/keyvalue/follower.go
+++ b/internal/keyvalue/follower.go
@@ -40,6 +40,8 @@
 	large, catchingUp, watchLost atomic.Bool
 	// pending is the watch call that Run waits for.
 	pending atomic.Pointer[watchCall]
+	// refreshes is the number of calls of Refresh that have not returned.
+	refreshes atomic.Int32
 }
 
 // watchCall is a watch call of Run.
@@ -204,11 +206,17 @@
 	follower.Confirm(at)
 }
 
+// Refreshing reports whether a call of Refresh is under way. Whoever uses the newest known version meanwhile may be
+// overtaken by the caller of Refresh, who uses a newer one.
+func (follower *Follower) Refreshing() bool { return follower.refreshes.Load() > 0 }
+
 // Refresh makes sure that the newest version has been passed to Apply, or one that was the newest when the store began to
-// send it. If there is no newer one, nothing is transferred. Concurrent calls share one call to the store, which goes on
-// if ctx ends.
+// send it. If there is no newer version of a large value, nothing is transferred. Concurrent calls share one call to the
+// store, which goes on if ctx ends.
 func (follower *Follower) Refresh(ctx context.Context) error {
-	if follower.after.Load() == 0 || follower.catchingUp.Load() || follower.watchLost.Load() {
+	follower.refreshes.Add(1)
+	defer follower.refreshes.Add(-1)
+	if !follower.large.Load() || follower.catchingUp.Load() || follower.watchLost.Load() {
 		_, err := follower.read(ctx)
 		return err
 	}
