--- a/internal/control/crash_test.go
+++ b/internal/control/crash_test.go
@@ -12,8 +12,7 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// TestCrashIsExplainedByItsRun guards against a crash that counts as one without a suspect because the worker had already
-// restarted when its failure was noticed. It would keep the crashes of other workers from blaming a task.
+// TestCrashIsExplainedByItsRun guards against a crash without a suspect because its worker had already restarted.
 func TestCrashIsExplainedByItsRun(t *testing.T) {
 	tests := []struct {
 		name string
@@ -44,8 +43,7 @@
 	}
 }
 
-// TestSuspectedGangIsIsolated guards against a gang that starts beside other jobs although a worker has crashed under a
-// member of it that is not the first.
+// TestSuspectedGangIsIsolated guards against a gang that starts beside others after a crash under a later member.
 func TestSuspectedGangIsIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		loop := newTestLoop(t, 2)
--- a/internal/keyvalue/follower_test.go
+++ b/internal/keyvalue/follower_test.go
@@ -88,8 +88,7 @@
 	})
 }
 
-// TestFollowerCatchesUp guards against a follower that falls ever further behind while versions are written faster than
-// they are sent.
+// TestFollowerCatchesUp guards against a follower that falls ever further behind versions written faster than sent.
 func TestFollowerCatchesUp(t *testing.T) {
 	const interval = 300 * time.Millisecond
 	store := newVersionedStore()
--- a/pkg/progress/crash_test.go
+++ b/pkg/progress/crash_test.go
@@ -6,8 +6,7 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// TestCountCrash guards against a job that goes on after its task has crashed as many workers as it may, and against one
-// that fails although its workers crashed for other reasons.
+// TestCountCrash guards against a wrong count of crashes: a job that goes on, or one that fails for others.
 func TestCountCrash(t *testing.T) {
 	const lone, unclear, survives, shared, late = "lone", "unclear", "survives", "shared", "late and lone"
 	crashes := map[string]Crash{
