Log and count what becomes of a stop

A refused stop and one that needed several attempts have a line each now, and stops{outcome} counts the attempts.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
 )
 
 // link sends orders to one incarnation of a worker. It extends the leases of the worker's runs, polls for running and
@@ -283,16 +284,17 @@
 
 // stop sends the stop of a run until the worker responds or the run has ended.
 func (link *link) stop(run *run) {
-	for link.ctx.Err() == nil && !run.ended.Load() {
+	for attempts := 1; link.ctx.Err() == nil && !run.ended.Load(); attempts++ {
 		order := StopOrder{Task: run.task, Run: run.number, Token: link.token}
 		ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
 		clock, err := link.loop.Workers.Stop(ctx, link.entry, order)
 		cancel()
+		metrics.Count(link.loop.Metrics, metrics.Name("stops", "outcome", orderOutcome(err)))
 		if err == nil {
 			link.recordClock(clock)
 		}
 		if err == nil || refusalOf(err) != "" {
-			link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, link.token, err) })
+			link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, link.token, attempts, err) })
 			return
 		}
 		_ = lifecycle.Sleep(link.ctx, stopRetry)
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -331,7 +331,8 @@
 
 // handleStopOutcome handles the outcome of a stop. A listing that is requested from now on and does not contain the run
 // proves that the run has ended.
-func (loop *dispatcher) handleStopOutcome(run *run, token Token, err error) {
+func (loop *dispatcher) handleStopOutcome(run *run, token Token, attempts int, err error) {
+	loop.logStopOutcome(run, attempts, err)
 	if run.link.refusedForLaterTerm(err, token) {
 		loop.superseded(run.link.entry.ID, token)
 		return
@@ -341,3 +342,15 @@
 	}
 	run.link.notify()
 }
+
+// logStopOutcome logs the outcome of a stop, unless the worker confirmed the first attempt.
+func (loop *dispatcher) logStopOutcome(run *run, attempts int, err error) {
+	fields := []any{"task", run.task.String(), "run", int(run.number), "worker", string(run.link.entry.ID),
+		"attempts", attempts}
+	switch {
+	case err != nil:
+		loop.Logger.Warn("stop not confirmed", append(fields, "error", err.Error())...)
+	case attempts > 1:
+		loop.Logger.Info("stop confirmed", fields...)
+	}
+}
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -154,3 +154,14 @@
 	}
 	return ""
 }
+
+// orderOutcome names the outcome of an order for metrics.
+func orderOutcome(err error) string {
+	if err == nil {
+		return "confirmed"
+	}
+	if refusal := refusalOf(err); refusal != "" {
+		return "refused_" + string(refusal)
+	}
+	return "unanswered"
+}
