--- /dev/null
+++ b/internal/control/stops_test.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/knownred"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// runID identifies a run on a worker.
+type runID struct {
+	task   workload.TaskID
+	number progress.RunNumber
+}
+
+// fakeWorker carries out orders as a worker does, except for those that fail says to refuse or not to answer.
+type fakeWorker struct {
+	mu      sync.Mutex
+	began   time.Time
+	running []runID
+	stopped map[workload.TaskID]progress.RunNumber
+	ends    []RunEnd
+	// refuseStops makes the worker refuse all stops, and loseStarts makes it answer no start and carry it out lateStart
+	// later.
+	refuseStops, loseStarts bool
+	lateStart               time.Duration
+	// stops are the times at which stops arrived.
+	stops []time.Duration
+	// leaseUntil is the latest deadline of an order.
+	leaseUntil WorkerClock
+}
+
+func newFakeWorker() *fakeWorker {
+	return &fakeWorker{began: time.Now(), stopped: map[workload.TaskID]progress.RunNumber{}}
+}
+
+func (fake *fakeWorker) clock() WorkerClock { return WorkerClock(time.Since(fake.began)) + 1 }
+
+func (fake *fakeWorker) set(change func()) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	change()
+}
+
+func (fake *fakeWorker) Start(ctx context.Context, _ WorkerEntry, order StartOrder) (WorkerClock, error) {
+	fake.mu.Lock()
+	lost := fake.loseStarts
+	fake.mu.Unlock()
+	if lost {
+		time.AfterFunc(fake.lateStart, func() { _ = fake.execute(order) })
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return fake.clock(), fake.execute(order)
+}
+
+func (fake *fakeWorker) execute(order StartOrder) error {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	id := runID{order.Task, order.Run}
+	switch {
+	case slices.Contains(fake.running, id):
+		return nil
+	case order.Run <= fake.stopped[order.Task]:
+		return &RefusalError{Reason: RefusedStaleRun}
+	}
+	fake.leaseUntil = max(fake.leaseUntil, order.Deadline)
+	fake.running = append(fake.running, id)
+	return nil
+}
+
+func (fake *fakeWorker) Stop(_ context.Context, _ WorkerEntry, order StopOrder) (WorkerClock, error) {
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	fake.stops = append(fake.stops, time.Since(fake.began))
+	if fake.refuseStops {
+		return 0, &RefusalError{Reason: RefusedUnhealthy}
+	}
+	fake.stopped[order.Task] = max(fake.stopped[order.Task], order.Run)
+	fake.end(runID{order.Task, order.Run}, progress.RunStopped)
+	return fake.clock(), nil
+}
+
+// end ends a run if it is there. The caller holds the lock.
+func (fake *fakeWorker) end(id runID, how progress.RunOutcome) {
+	i := slices.Index(fake.running, id)
+	if i < 0 {
+		return
+	}
+	fake.running = slices.Delete(fake.running, i, i+1)
+	fake.ends = append(fake.ends, RunEnd{Number: int64(len(fake.ends) + 1), Task: id.task, Run: id.number, How: how})
+}
+
+func (*fakeWorker) Throttle(context.Context, WorkerEntry, ThrottleOrder) (WorkerClock, error) {
+	return 0, nil
+}
+
+func (fake *fakeWorker) Poll(_ context.Context, _ WorkerEntry, order PollOrder) (Listing, error) {
+	time.Sleep(min(order.Wait, 100*time.Millisecond))
+	fake.mu.Lock()
+	defer fake.mu.Unlock()
+	fake.leaseUntil = max(fake.leaseUntil, order.Deadline)
+	if fake.clock() > fake.leaseUntil {
+		for len(fake.running) > 0 {
+			fake.end(fake.running[0], progress.RunLeaseExpired)
+		}
+	}
+	listing := Listing{Clock: fake.clock(), Ended: slices.Clone(fake.ends)}
+	for _, id := range fake.running {
+		listing.Running = append(listing.Running, RunStatus{Task: id.task, Run: id.number})
+	}
+	return listing, nil
+}
+
+// withFakeWorker runs a test on a loop with one connected fake worker.
+func withFakeWorker(t *testing.T, test func(*testLoop, *fakeWorker, *worker)) {
+	synctest.Test(t, func(t *testing.T) {
+		loop := newTestLoop(t, 1)
+		began := time.Now()
+		loop.Clock = func() time.Duration { return time.Since(began) + 1 }
+		loop.term.Clock, loop.term.TTL = loop.Clock, time.Hour
+		fake := newFakeWorker()
+		loop.Workers, loop.LeaseDuration = fake, 5*time.Second
+		worker := loop.workers["w0000"]
+		loop.connect(worker, worker.entry, 1, 0)
+		loop.pump(time.Second)
+		test(loop, fake, worker)
+		worker.link.cancel()
+		_ = loop.group.Wait()
+	})
+}
+
+// pump processes the loop's events for some time.
+func (test *testLoop) pump(duration time.Duration) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	end := time.After(duration)
+	for {
+		select {
+		case event := <-test.events:
+			event(test.dispatcher)
+		case <-ticker.C:
+			test.sweep()
+		case <-end:
+			return
+		}
+	}
+}
+
+// startTasks submits a job with the given number of tasks, places them and sends their starts.
+func (test *testLoop) startTasks(count int) *job {
+	job := test.submit(1, workload.Step{
+		Tasks: count, Each: workload.Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 1}, Estimate: time.Minute,
+	})
+	test.plan()
+	started := job.onStored
+	job.onStored = nil
+	for _, send := range started {
+		send()
+	}
+	return job
+}
+
+// TestCancelledRunEndsAfterRefusedStop guards against a run of a cancelled job that goes on because its stop was refused.
+func TestCancelledRunEndsAfterRefusedStop(t *testing.T) {
+	knownred.SkipIfListed(t)
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		cancelled := loop.startTasks(1)
+		loop.startTasks(1)
+		loop.pump(time.Second)
+		fake.set(func() { fake.refuseStops = true })
+		loop.stopJob(cancelled)
+		loop.pump(4 * time.Second)
+		fake.set(func() { fake.refuseStops = false })
+		loop.pump(time.Second)
+		if len(fake.running) != 1 || fake.running[0].task.Job == cancelled.ID || len(worker.runs) != 1 {
+			t.Errorf("1 s after the worker accepts stops again it runs %v, and %d runs are placed there; want the other job's",
+				fake.running, len(worker.runs))
+		}
+	})
+}
+
+// TestNoSecondRunBesideLateStart guards against a task that is placed again although an unanswered start of it may still
+// be carried out, because the stop was refused.
+func TestNoSecondRunBesideLateStart(t *testing.T) {
+	knownred.SkipIfListed(t)
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		fake.set(func() { fake.loseStarts, fake.refuseStops, fake.lateStart = true, true, 3*time.Second })
+		job := loop.startTasks(1)
+		loop.pump(2500 * time.Millisecond)
+		if task := job.record.Occurrences[0].Steps[0].Tasks[0]; task.Phase != progress.Placed {
+			t.Errorf("the task is %v before its worker has confirmed the stop, want placed", task.Phase)
+		}
+		fake.set(func() { fake.refuseStops = false })
+		loop.pump(2 * time.Second)
+		if len(fake.running) > 0 || len(worker.runs) > 0 {
+			t.Errorf("2 s after the worker accepts stops again it runs %v, and %d runs are placed there; want none",
+				fake.running, len(worker.runs))
+		}
+	})
+}
