Send a refused stop again until the worker confirms it

Cause: a stop that a worker refused with 429 or 503 ended the attempts like a confirmed one. The worker had done nothing, each poll extended the run's lease, and nothing compared its listing with the order.

A stop now ends only with its confirmation, the end of the run or the end of the link. A worker that refuses stops gets one of them after each pause of 250 ms to 1 s, whichever run it is for, and all others with the first confirmation: TestStopsToRefusingWorkerAreBounded counts them.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
-	"github.com/quetzalstall/quetzalstall/internal/metrics"
 )
 
 // link sends orders to one incarnation of a worker. It extends the leases of the worker's runs, polls for running and
@@ -19,6 +18,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wake   chan struct{}
+	// stops limits the stops to the worker while it refuses them.
+	stops *stopGate
 
 	mu sync.Mutex
 	// clock is a lower bound of the worker's clock at the local time clockAt.
@@ -52,6 +53,7 @@
 	created := &link{
 		loop: loop, entry: entry, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), token: token,
 		clock: entry.Clock, clockAt: loop.clock() - time.Since(entry.ReadAt), formerLeasesUntil: formerLeasesUntil,
+		stops: &stopGate{clock: loop.Clock},
 	}
 	loop.group.Go(func() error {
 		created.run()
@@ -248,8 +250,8 @@
 	// maxStartAttempts is the number of attempts after which a start without a response is abandoned. A retry is safe,
 	// because the run number makes a start idempotent.
 	maxStartAttempts = 3
-	// stopRetry is the pause between attempts to stop a run.
-	stopRetry = 250 * time.Millisecond
+	// orderRetry is the pause after a stop or throttle without an answer.
+	orderRetry = 250 * time.Millisecond
 )
 
 // start sends the start of a run until the worker responds or maxStartAttempts is reached.
@@ -281,22 +283,3 @@
 func (link *link) refusedForLaterTerm(err error, token Token) bool {
 	return refusalOf(err) == RefusedToken && token == link.token
 }
-
-// stop sends the stop of a run until the worker responds or the run has ended.
-func (link *link) stop(run *run) {
-	for attempts := 1; link.ctx.Err() == nil && !run.ended.Load(); attempts++ {
-		order := StopOrder{Task: run.task, Run: run.number, Token: link.token}
-		ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
-		clock, err := link.loop.Workers.Stop(ctx, link.entry, order)
-		cancel()
-		metrics.Count(link.loop.Metrics, metrics.Name("stops", "outcome", orderOutcome(err)))
-		if err == nil {
-			link.recordClock(clock)
-		}
-		if err == nil || refusalOf(err) != "" {
-			link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, link.token, attempts, err) })
-			return
-		}
-		_ = lifecycle.Sleep(link.ctx, stopRetry)
-	}
-}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -245,27 +245,6 @@
 	}
 }
 
-// stopRun stops a run. A run whose start was not sent needs no order: sendStart ends it instead of starting it.
-func (loop *dispatcher) stopRun(run *run, cause string) {
-	if run.stopping {
-		return
-	}
-	run.stopping = true
-	loop.Logger.Info("run to stop", "task", run.task.String(), "run", int(run.number), "cause", cause)
-	if run.startSent && run.link != nil {
-		loop.sendStop(run)
-	}
-}
-
-// sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it.
-func (loop *dispatcher) sendStop(run *run) {
-	link := run.link
-	loop.group.Go(func() error {
-		link.stop(run)
-		return nil
-	})
-}
-
 // sendStart sends the start of a run whose placement is stored. If the run must not start any more, for example because
 // it is to be stopped or its worker has restarted, it ends the run instead.
 func (loop *dispatcher) sendStart(placed *run, order StartOrder) {
@@ -328,29 +307,3 @@
 		loop.endRun(placed, progress.RunLost, "", "start refused: "+string(refusal))
 	}
 }
-
-// handleStopOutcome handles the outcome of a stop. A listing that is requested from now on and does not contain the run
-// proves that the run has ended.
-func (loop *dispatcher) handleStopOutcome(run *run, token Token, attempts int, err error) {
-	loop.logStopOutcome(run, attempts, err)
-	if run.link.refusedForLaterTerm(err, token) {
-		loop.superseded(run.link.entry.ID, token)
-		return
-	}
-	if run.listedAfter == 0 {
-		run.listedAfter = loop.clock()
-	}
-	run.link.notify()
-}
-
-// logStopOutcome logs the outcome of a stop, unless the worker confirmed the first attempt.
-func (loop *dispatcher) logStopOutcome(run *run, attempts int, err error) {
-	fields := []any{"task", run.task.String(), "run", int(run.number), "worker", string(run.link.entry.ID),
-		"attempts", attempts}
-	switch {
-	case err != nil:
-		loop.Logger.Warn("stop not confirmed", append(fields, "error", err.Error())...)
-	case attempts > 1:
-		loop.Logger.Info("stop confirmed", fields...)
-	}
-}
--- /dev/null
+++ b/internal/control/stops.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"context"
+
+	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
+)
+
+// stopRun stops a run. A run whose start was not sent needs no order: sendStart ends it instead of starting it.
+func (loop *dispatcher) stopRun(run *run, cause string) {
+	if run.stopping {
+		return
+	}
+	run.stopping = true
+	loop.Logger.Info("run to stop", "task", run.task.String(), "run", int(run.number), "cause", cause)
+	if run.startSent && run.link != nil {
+		loop.sendStop(run)
+	}
+}
+
+// sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it.
+func (loop *dispatcher) sendStop(run *run) {
+	link := run.link
+	loop.group.Go(func() error {
+		link.stop(run)
+		return nil
+	})
+}
+
+// stop sends the stop of a run until the worker confirms it, the run has ended or the link is closed.
+func (link *link) stop(run *run) {
+	for attempts := 1; !run.ended.Load(); attempts++ {
+		changes, err := link.stops.pass(link.ctx)
+		if err != nil || run.ended.Load() {
+			return
+		}
+		err = link.sendStop(run)
+		if link.ctx.Err() != nil {
+			return
+		}
+		link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, link, attempts, err) })
+		switch refusal := refusalOf(err); {
+		case err == nil:
+			link.stops.recordConfirmation()
+			return
+		case refusal != "":
+			link.stops.recordRefusal(changes)
+		default:
+			_ = lifecycle.Sleep(link.ctx, orderRetry)
+		}
+	}
+}
+
+func (link *link) sendStop(run *run) error {
+	ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
+	defer cancel()
+	order := StopOrder{Task: run.task, Run: run.number, Token: link.token}
+	clock, err := link.loop.Workers.Stop(ctx, link.entry, order)
+	metrics.Count(link.loop.Metrics, metrics.Name("stops", "outcome", orderOutcome(err)))
+	if err == nil {
+		link.recordClock(clock)
+	}
+	return err
+}
+
+// handleStopOutcome handles the outcome of one attempt to stop a run. A listing that is requested from now on and does
+// not contain the run proves that the run has ended.
+func (loop *dispatcher) handleStopOutcome(run *run, link *link, attempts int, err error) {
+	loop.logStopOutcome(run, link, attempts, err)
+	if run.link != link {
+		return
+	}
+	if link.refusedForLaterTerm(err, link.token) {
+		loop.superseded(link.entry.ID, link.token)
+		return
+	}
+	if run.listedAfter == 0 && (err == nil || refusalOf(err) != "") {
+		run.listedAfter = loop.clock()
+	}
+	if err == nil {
+		link.notify()
+	}
+}
+
+// logStopOutcome logs a stop that was confirmed only after several attempts, and attempts without a confirmation: the
+// first, second, fourth and so on, which bounds the volume.
+func (loop *dispatcher) logStopOutcome(run *run, link *link, attempts int, err error) {
+	fields := []any{"task", run.task.String(), "run", int(run.number), "worker", string(link.entry.ID),
+		"attempts", attempts}
+	switch {
+	case err != nil && attempts&(attempts-1) == 0:
+		loop.Logger.Warn("stop not confirmed", append(fields, "error", err.Error())...)
+	case err == nil && attempts > 1:
+		loop.Logger.Info("stop confirmed", fields...)
+	}
+}
--- a/internal/control/stops_test.go
+++ b/internal/control/stops_test.go
@@ -156,7 +156,7 @@
 // startTasks submits a job with the given number of tasks, places them and sends their starts.
 func (test *testLoop) startTasks(count int) *job {
 	job := test.submit(1, workload.Step{
-		Tasks: count, Each: workload.Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 1}, Estimate: time.Minute,
+		Tasks: count, Each: workload.Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 0}, LongRunning: true,
 	})
 	test.plan()
 	started := job.onStored
@@ -169,7 +169,6 @@
 
 // TestCancelledRunEndsAfterRefusedStop guards against a run of a cancelled job that goes on because its stop was refused.
 func TestCancelledRunEndsAfterRefusedStop(t *testing.T) {
-	knownred.SkipIfListed(t)
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		cancelled := loop.startTasks(1)
 		loop.startTasks(1)
@@ -205,3 +204,26 @@
 		}
 	})
 }
+
+// TestStopsToRefusingWorkerAreBounded guards against a storm of stops to a worker that refuses all of them.
+func TestStopsToRefusingWorkerAreBounded(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job := loop.startTasks(8)
+		loop.startTasks(1)
+		loop.pump(time.Second)
+		fake.set(func() { fake.refuseStops = true })
+		loop.stopJob(job)
+		loop.pump(time.Second)
+		before := len(fake.stops)
+		loop.pump(10 * time.Second)
+		if sent := len(fake.stops) - before; sent > 10 {
+			t.Errorf("%d stops reach the refusing worker in 10 s, want at most one a second", sent)
+		}
+		fake.set(func() { fake.refuseStops = false })
+		loop.pump(1500 * time.Millisecond)
+		if len(fake.running) != 1 {
+			t.Errorf("%d runs are left 1.5 s after the worker accepts stops again, want the one of the other job",
+				len(fake.running))
+		}
+	})
+}
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -151,7 +151,7 @@
 	if err == nil {
 		link.recordClock(clock)
 	} else {
-		_ = lifecycle.Sleep(link.ctx, stopRetry)
+		_ = lifecycle.Sleep(link.ctx, orderRetry)
 	}
 	return err
 }
