Extend no lease for the sake of runs that are to be stopped

Callers saw a task of a cancelled job run on to its end: each poll extended the lease of the run although its stop had been refused, so that the one limit that holds without the worker's consent never applied.

TestLeaseEndsRunThatCannotBeStopped failed before: a run whose stop is refused for ever was still there 6 s after, with a lease of 5 s. A poll extends the leases of a worker only while one of its runs is to go on.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -30,11 +30,7 @@
 	// formerLeasesUntil is the local time until which leases that this link did not grant may last, such as those of a
 	// former controller.
 	formerLeasesUntil time.Duration
-	// occupied is set while runs are placed on the worker.
-	occupied bool
-	// frequent is set while the worker is polled at short intervals, because it has both serving runs, which have a target
-	// for their response times, and best-effort runs, or because it has a run that may crash it.
-	frequent bool
+	duty              linkDuty
 	// responded is set once the worker has responded to a poll with this link's token.
 	responded bool
 	// unresponsive is set while polls fail. Meanwhile no lease is extended, so that all granted leases expire.
@@ -46,6 +42,17 @@
 	lastListedEnd int64
 }
 
+// linkDuty is what the runs of a worker require of its link.
+type linkDuty struct {
+	// occupied is set while the worker has runs. The link polls it then.
+	occupied bool
+	// extendLeases is set while one of the runs is not to be stopped. Otherwise the leases end the runs whose stops fail.
+	extendLeases bool
+	// frequent is set while the worker is polled at short intervals, because it has both serving runs, which have a target
+	// for their response times, and best-effort runs, or because it has a run that may crash it.
+	frequent bool
+}
+
 func newLink(
 	parent context.Context, loop *dispatcher, entry WorkerEntry, token Token, formerLeasesUntil time.Duration,
 ) *link {
@@ -104,10 +111,10 @@
 
 // update sets the fields of the link that determine when it polls and with which order, and wakes the link if the
 // change requires a poll.
-func (link *link) update(occupied, frequent bool, acknowledged int64) {
+func (link *link) update(duty linkDuty, acknowledged int64) {
 	link.mu.Lock()
-	changed := occupied && !link.occupied || acknowledged > link.acknowledged
-	link.occupied, link.frequent = occupied, frequent
+	changed := duty.occupied && !link.duty.occupied || acknowledged > link.acknowledged
+	link.duty = duty
 	link.acknowledged = max(link.acknowledged, acknowledged)
 	link.mu.Unlock()
 	if changed {
@@ -155,24 +162,24 @@
 func (link *link) hasWork() bool {
 	link.mu.Lock()
 	defer link.mu.Unlock()
-	return link.occupied || !link.responded || link.unresponsive || link.acknowledged > link.acknowledgedSent
+	return link.duty.occupied || !link.responded || link.unresponsive || link.acknowledged > link.acknowledgedSent
 }
 
 // onlyAcknowledges reports whether the next poll only has to deliver an acknowledgement.
 func (link *link) onlyAcknowledges() bool {
 	link.mu.Lock()
 	defer link.mu.Unlock()
-	return link.responded && !link.unresponsive && !link.occupied
+	return link.responded && !link.unresponsive && !link.duty.occupied
 }
 
 // nextOrder returns the order for the next poll.
 func (link *link) nextOrder() PollOrder {
 	link.mu.Lock()
 	order := PollOrder{Token: link.token}
-	occupied := link.occupied && !link.unresponsive
-	if occupied && link.responded {
+	extendLeases := link.duty.extendLeases && !link.unresponsive
+	if link.duty.occupied && !link.unresponsive && link.responded {
 		order.Wait = pollWait
-		if link.frequent {
+		if link.duty.frequent {
 			order.Wait = frequentPollWait
 		}
 	}
@@ -182,7 +189,7 @@
 		order.Acknowledged = link.acknowledged
 	}
 	link.mu.Unlock()
-	if occupied && link.loop.term.MayExtendLeases() {
+	if extendLeases && link.loop.term.MayExtendLeases() {
 		order.Deadline = link.deadline()
 	}
 	return order
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -222,9 +222,21 @@
 		worker.health.Available(now)
 }
 
+// needed reports whether the worker has a run that is not to be stopped.
+func (worker *worker) needed() bool {
+	for _, run := range worker.runs {
+		if !run.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // updateLink passes the state of the worker that polls depend on to the worker's link.
 func (worker *worker) updateLink() {
 	if worker.link != nil {
-		worker.link.update(len(worker.runs) > 0, worker.mixed() || worker.isolating(), worker.acknowledgeable())
+		worker.link.update(linkDuty{
+			occupied: len(worker.runs) > 0, extendLeases: worker.needed(), frequent: worker.mixed() || worker.isolating(),
+		}, worker.acknowledgeable())
 	}
 }
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -17,6 +17,9 @@
 	if run.startSent && run.link != nil {
 		loop.sendStop(run)
 	}
+	if worker := run.worker(loop); worker != nil {
+		worker.updateLink()
+	}
 }
 
 // sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it.
--- a/internal/control/stops_test.go
+++ b/internal/control/stops_test.go
@@ -225,3 +225,17 @@
 		}
 	})
 }
+
+// TestLeaseEndsRunThatCannotBeStopped guards against polls that keep a run alive whose stop the worker refuses.
+func TestLeaseEndsRunThatCannotBeStopped(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job := loop.startTasks(1)
+		loop.pump(time.Second)
+		fake.set(func() { fake.refuseStops = true })
+		loop.stopJob(job)
+		loop.pump(loop.LeaseDuration + time.Second)
+		if len(fake.running) > 0 || len(worker.runs) > 0 {
+			t.Errorf("the worker runs %v, and %d runs are placed there; want none", fake.running, len(worker.runs))
+		}
+	})
+}
