Compare what workers list with what was ordered, until it agrees

- a confirmed stop without effect was never sent again (TestStopIsSentAgainWhileRunIsListed: the run stayed to the end);
- beside such a run other tasks started on its worker, whose capacity it occupies, and the next run of its task started elsewhere (TestNoStartBesideUnexpectedRun).

Runs that a worker lists and that are not placed there are kept now until a listing lacks them. Their worker is polled and gets no other task, and no other run of their task starts. Every listing that still shows a run which is to stop leads to another stop, unless one is under way or the worker has confirmed it less than 1.2 s ago.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -103,6 +103,8 @@
 	invalidRecords map[fleet.JobID]bool
 	workers        map[fleet.WorkerID]*worker
 	claims         map[workload.TaskID]*claim
+	// unexpectedRuns counts the unexpected runs of each task that has any.
+	unexpectedRuns map[workload.TaskID]int
 	advice         advice
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
@@ -126,7 +128,7 @@
 		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
-		claims: map[workload.TaskID]*claim{},
+		claims: map[workload.TaskID]*claim{}, unexpectedRuns: map[workload.TaskID]int{},
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
@@ -301,10 +303,10 @@
 func (loop *dispatcher) sweep() {
 	for _, worker := range loop.workers {
 		loop.dropAwaiting(worker)
-		if len(worker.runs) > 0 && loop.leasesExpired(worker) {
+		if worker.occupied() && loop.leasesExpired(worker) {
 			loop.expireRuns(worker)
 		}
-		if worker.link != nil && !worker.listed && len(worker.runs) == 0 && worker.unresponsive {
+		if worker.link != nil && !worker.listed && !worker.occupied() && worker.unresponsive {
 			loop.removeWorker(worker)
 		}
 	}
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -129,6 +129,9 @@
 	worker.settled, worker.unresponsive = false, false
 	worker.lastEnd, worker.unstoredEnds = 0, map[int64]bool{}
 	worker.link = newLink(loop.ctx, loop, entry, token, formerLeasesUntil)
+	for _, run := range worker.unexpected {
+		run.link = worker.link
+	}
 	worker.updateLink()
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -176,8 +176,12 @@
 				if !job.record.Ready(job.Job, k, s) {
 					continue
 				}
-				if units := job.record.Units(job.Job, k, s); len(units) > 0 {
-					groups = append(groups, group{job: job, units: units, waitingSince: waitingSince})
+				ready := group{job: job, units: job.record.Units(job.Job, k, s), waitingSince: waitingSince}
+				ready.units = slices.DeleteFunc(ready.units, func(unit progress.Unit) bool {
+					return loop.anyUnexpected(ready.candidate(unit))
+				})
+				if len(ready.units) > 0 {
+					groups = append(groups, ready)
 				}
 			}
 		}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -31,6 +31,7 @@
 		for _, run := range worker.runs {
 			loop.endRun(run, progress.RunLost, "", "another incarnation of the worker responded")
 		}
+		loop.forgetAllUnexpected(worker)
 	}
 	if !worker.unresponsive {
 		worker.unresponsive = true
@@ -51,6 +52,7 @@
 	for _, run := range worker.runs {
 		loop.endRun(run, progress.RunLeaseExpired, "", "leases on the worker have expired")
 	}
+	loop.forgetAllUnexpected(worker)
 	loop.planNeeded = true
 }
 
@@ -159,9 +161,12 @@
 		running[status.Task] = true
 		known := worker.runs[status.Task]
 		if known == nil || known.number != status.Run {
-			loop.stopUnexpected(worker, status)
+			loop.stopUnexpected(worker, status, sent)
 			continue
 		}
+		if known.stopping {
+			loop.ensureStop(known, sent)
+		}
 		known.job.record.SetCheckpoint(known.job.Job, known.task, known.number, status.Checkpoint)
 		if known.firstListed == 0 {
 			known.firstListed = loop.clock()
@@ -170,6 +175,7 @@
 		verdicts[known] = known.assess(listing.Clock, status.Percent)
 		listed = append(listed, known)
 	}
+	loop.removeUnexpected(worker, listing)
 	loop.recordSurvivors(worker, listed, sent)
 	loop.handleSlowRuns(worker, verdicts)
 	loop.throttle(worker, listing)
@@ -183,15 +189,6 @@
 	}
 }
 
-// stopUnexpected stops a run that a worker lists as running although the run was not placed there, or has been replaced
-// by a later run of its task.
-func (loop *dispatcher) stopUnexpected(worker *worker, status RunStatus) {
-	loop.Logger.Warn("unexpected run on a worker; stopping it", "task", status.Task.String(), "run", int(status.Run),
-		"worker", string(worker.entry.ID))
-	unexpected := &run{task: status.Task, number: status.Run, link: worker.link}
-	loop.sendStop(unexpected)
-}
-
 // endRun records that a run has certainly ended and frees its capacity. If the job has thereby failed, it stops the
 // other runs of the job. If the run was lost or its lease expired, it stops the other members of its gang.
 func (loop *dispatcher) endRun(run *run, outcome progress.RunOutcome, checkpoint, cause string) {
@@ -256,6 +253,10 @@
 		loop.endRun(placed, progress.RunLost, "", "not started")
 		return
 	}
+	if len(worker.unexpected) > 0 || loop.unexpectedRuns[placed.task] > 0 {
+		loop.endRun(placed, progress.RunLost, "", "not started: a run that is not placed has not ended")
+		return
+	}
 	if worker.overCapacity() {
 		loop.endRun(placed, progress.RunLost, "", "not started: the capacity of the worker has shrunk")
 		return
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -93,8 +93,11 @@
 	startSent bool
 	// ended is set once the run has certainly ended.
 	ended atomic.Bool
-	// stopping is set once the run is to be stopped.
-	stopping bool
+	// stopping is set once the run is to be stopped. stopVia is the link that is sending the stop, or nil, and
+	// stopConfirmedAt the time at which the worker last confirmed it; 0 if it did not.
+	stopping        bool
+	stopVia         *link
+	stopConfirmedAt time.Duration
 	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
 	restored bool
 	speeds   speedTracker
@@ -147,6 +150,8 @@
 	// lastHeard is the time of the worker's last response to a poll.
 	lastHeard time.Duration
 	runs      map[workload.TaskID]*run
+	// unexpected are the runs that the worker lists although they are not among runs. Their job is nil.
+	unexpected map[runID]*run
 	// used is the capacity of all runs, including those that are stopping.
 	used workload.Resources
 	// reserved is the capacity that claims reserve on the worker.
@@ -162,7 +167,7 @@
 
 func newWorker(entry WorkerEntry) *worker {
 	return &worker{
-		entry: entry, runs: map[workload.TaskID]*run{}, unstoredEnds: map[int64]bool{},
+		entry: entry, runs: map[workload.TaskID]*run{}, unexpected: map[runID]*run{}, unstoredEnds: map[int64]bool{},
 		throttle: throttleState{share: fullShare},
 	}
 }
@@ -219,9 +224,12 @@
 // usable reports whether new tasks may start on the worker.
 func (worker *worker) usable(now time.Duration) bool {
 	return worker.listed && worker.settled && !worker.unresponsive && !worker.entry.Draining &&
-		worker.health.Available(now)
+		worker.health.Available(now) && len(worker.unexpected) == 0
 }
 
+// occupied reports whether runs are placed on the worker or listed by it.
+func (worker *worker) occupied() bool { return len(worker.runs) > 0 || len(worker.unexpected) > 0 }
+
 // needed reports whether the worker has a run that is not to be stopped.
 func (worker *worker) needed() bool {
 	for _, run := range worker.runs {
@@ -236,7 +244,7 @@
 func (worker *worker) updateLink() {
 	if worker.link != nil {
 		worker.link.update(linkDuty{
-			occupied: len(worker.runs) > 0, extendLeases: worker.needed(), frequent: worker.mixed() || worker.isolating(),
+			occupied: worker.occupied(), extendLeases: worker.needed(), frequent: worker.mixed() || worker.isolating(),
 		}, worker.acknowledgeable())
 	}
 }
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
@@ -22,9 +23,32 @@
 	}
 }
 
-// sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it.
+// stopTime is how long a worker may list a run after it has confirmed the stop. The platform's workers take up to 0.9 s to
+// stop a run.
+const stopTime = 1200 * time.Millisecond
+
+// ensureStop sends the stop of a run again that a listing, requested at the given local time, still contains, unless the
+// stop is being sent or the worker may need more time for it.
+func (loop *dispatcher) ensureStop(run *run, requested time.Duration) {
+	if confirmed := run.stopConfirmedAt; confirmed != 0 {
+		if requested < confirmed+stopTime {
+			return
+		}
+		loop.Logger.Warn("run still listed after its stop was confirmed; stopping it again", "task", run.task.String(),
+			"run", int(run.number), "worker", string(run.link.entry.ID), "confirmed_ms", (requested - confirmed).Milliseconds())
+		run.stopConfirmedAt = 0
+	}
+	loop.sendStop(run)
+}
+
+// sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it, unless this
+// link is sending it already.
 func (loop *dispatcher) sendStop(run *run) {
 	link := run.link
+	if run.stopVia == link {
+		return
+	}
+	run.stopVia = link
 	loop.group.Go(func() error {
 		link.stop(run)
 		return nil
@@ -82,6 +106,7 @@
 	if err != nil {
 		return
 	}
+	run.stopVia, run.stopConfirmedAt = nil, loop.clock()
 	if run.listedAfter == 0 {
 		run.listedAfter = loop.clock()
 	}
--- a/internal/control/stops_test.go
+++ b/internal/control/stops_test.go
@@ -12,12 +12,6 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// runID identifies a run on a worker.
-type runID struct {
-	task   workload.TaskID
-	number progress.RunNumber
-}
-
 // fakeWorker carries out orders as a worker does, except for those that fail says to refuse or not to answer.
 type fakeWorker struct {
 	mu      sync.Mutex
@@ -25,10 +19,12 @@
 	running []runID
 	stopped map[workload.TaskID]progress.RunNumber
 	ends    []RunEnd
-	// refuseStops makes the worker refuse all stops, and loseStarts makes it answer no start and carry it out lateStart
-	// later.
-	refuseStops, loseStarts bool
-	lateStart               time.Duration
+	// refuseStops makes the worker refuse all stops, ignoreStops makes it confirm them without effect, and loseStops makes
+	// it not answer them.
+	refuseStops, ignoreStops, loseStops bool
+	// loseStarts makes the worker answer no start and carry it out lateStart later.
+	loseStarts bool
+	lateStart  time.Duration
 	// stops are the times at which stops arrived.
 	stops []time.Duration
 	// leaseUntil is the latest deadline of an order.
@@ -74,12 +70,20 @@
 	return nil
 }
 
-func (fake *fakeWorker) Stop(_ context.Context, _ WorkerEntry, order StopOrder) (WorkerClock, error) {
+func (fake *fakeWorker) Stop(ctx context.Context, _ WorkerEntry, order StopOrder) (WorkerClock, error) {
 	fake.mu.Lock()
 	defer fake.mu.Unlock()
 	fake.stops = append(fake.stops, time.Since(fake.began))
-	if fake.refuseStops {
+	switch {
+	case fake.refuseStops:
 		return 0, &RefusalError{Reason: RefusedUnhealthy}
+	case fake.ignoreStops:
+		return fake.clock(), nil
+	case fake.loseStops:
+		fake.mu.Unlock()
+		<-ctx.Done()
+		fake.mu.Lock()
+		return 0, ctx.Err()
 	}
 	fake.stopped[order.Task] = max(fake.stopped[order.Task], order.Run)
 	fake.end(runID{order.Task, order.Run}, progress.RunStopped)
@@ -226,6 +230,23 @@
 	})
 }
 
+// TestStopIsSentAgainWhileRunIsListed guards against a confirmed stop that had no effect and is never sent again.
+func TestStopIsSentAgainWhileRunIsListed(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job := loop.startTasks(1)
+		loop.startTasks(1)
+		loop.pump(time.Second)
+		fake.set(func() { fake.ignoreStops = true })
+		loop.stopJob(job)
+		loop.pump(time.Second)
+		fake.set(func() { fake.ignoreStops = false })
+		loop.pump(3 * time.Second)
+		if len(fake.running) != 1 || len(worker.runs) != 1 {
+			t.Errorf("the worker runs %v, and %d runs are placed there; want the other job's", fake.running, len(worker.runs))
+		}
+	})
+}
+
 // TestLeaseEndsRunThatCannotBeStopped guards against polls that keep a run alive whose stop the worker refuses.
 func TestLeaseEndsRunThatCannotBeStopped(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
@@ -239,3 +260,55 @@
 		}
 	})
 }
+
+// loseTrack makes the loop take a run for lost that its worker goes on with.
+func (test *testLoop) loseTrack(worker *worker, job *job) {
+	for _, run := range worker.runs {
+		if run.job == job {
+			test.endRun(run, progress.RunLost, "", "test")
+		}
+	}
+}
+
+// TestNoStartBesideUnexpectedRun guards against a second run of a task, and against starts on a worker whose capacity is
+// not known, while the worker lists a run that is not placed there.
+func TestNoStartBesideUnexpectedRun(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job := loop.startTasks(1)
+		loop.pump(time.Second)
+		fake.set(func() { fake.refuseStops = true })
+		loop.loseTrack(worker, job)
+		loop.pump(time.Second)
+		other := newWorker(worker.entry)
+		other.entry.ID, other.listed, other.settled = "w0001", true, true
+		loop.workers[other.entry.ID] = other
+		loop.submit(1, job.Steps[0])
+		loop.plan()
+		if len(worker.runs) > 0 || len(other.runs) != 1 || other.runs[workload.TaskID{Job: job.ID}] != nil {
+			t.Errorf("%d runs are placed beside the unexpected run, on the other worker %v; want only the other job's there",
+				len(worker.runs), other.runs)
+		}
+		fake.set(func() { fake.refuseStops = false })
+		loop.pump(1500 * time.Millisecond)
+		loop.plan()
+		if task := job.record.Occurrences[0].Steps[0].Tasks[0]; task.Phase != progress.Placed {
+			t.Errorf("the task is %v once its former run is gone, want placed", task.Phase)
+		}
+	})
+}
+
+// TestStopsOfUnexpectedRunAreBounded guards against another stop, sent until it is answered, for each listing that shows an
+// unexpected run.
+func TestStopsOfUnexpectedRunAreBounded(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job := loop.startTasks(1)
+		loop.startTasks(1)
+		loop.pump(time.Second)
+		fake.set(func() { fake.loseStops = true })
+		loop.loseTrack(worker, job)
+		loop.pump(10 * time.Second)
+		if sent := len(fake.stops); sent == 0 || sent > 20 {
+			t.Errorf("%d stops of one run are sent in 10 s, want at most two a second", sent)
+		}
+	})
+}
