Stop the runs on a worker that drained before the term or the link

What callers see: tasks on a leaving worker run until it is gone and then start over, also those that the former controller had ordered to stop, if that order was refused or lost. Cause: runs were stopped only when the entry of a worker changed to draining. A new controller, and the link to a new incarnation, take the entry over first, so that no change was seen. Change: each report of a draining worker judges the runs there that were not judged yet. A run of a former controller is judged after 3 s in the term, when its speed is known: with its declared run time, one that is almost done would be stopped. Evidence: TestEvacuation ("other incarnation", both "other controller" cases that have to stop) and TestDrainBeforeTerm failed before, the latter with all four runs left on the worker.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -68,6 +68,7 @@
 
 func (loop *dispatcher) observeWorker(entry WorkerEntry) {
 	known := loop.workers[entry.ID]
+	wasDraining := known != nil && known.entry.Draining
 	switch {
 	case known == nil:
 		known = newWorker(entry)
@@ -81,10 +82,16 @@
 	case entry.Incarnation > known.entry.Incarnation:
 		loop.beginIncarnation(known, entry)
 	}
-	startsDraining := entry.Draining && !known.entry.Draining
 	known.entry, known.listed = entry, true
 	loop.recordReport(known)
-	if startsDraining {
+	switch {
+	case entry.Draining && !wasDraining:
+		loop.Logger.Info("worker draining", "worker", string(entry.ID), "runs", len(known.runs),
+			"remaining_ms", entry.Remaining.Milliseconds())
+	case wasDraining && !entry.Draining:
+		known.forgetEvacuation()
+	}
+	if entry.Draining {
 		loop.evacuate(known)
 	}
 	if known.link != nil && known.entry.Address != known.link.entry.Address {
@@ -95,16 +102,24 @@
 	}
 }
 
-// drainSlack is how much longer than announced a draining worker is expected to stay.
-const drainSlack = time.Second
+const (
+	// drainSlack is how much longer than announced a draining worker is expected to stay.
+	drainSlack = time.Second
+	// restoredAssessment is the time in which a run of a former controller gets a measured speed: the first listings
+	// of a worker are about a second apart. How long the run has worked before is not known.
+	restoredAssessment = 3 * time.Second
+)
 
 // evacuate stops the runs of a draining worker that are not expected to end before the worker leaves. Their tasks
 // resume elsewhere from their checkpoints. Without a checkpoint a task at least starts over sooner than if it ran until
-// the worker leaves.
+// the worker leaves. It is called at each report of a draining worker and judges each run once, because later the little
+// time that remains would make a small error of the estimate stop a run that is almost done.
 func (loop *dispatcher) evacuate(draining *worker) {
-	loop.Logger.Info("worker draining", "worker", string(draining.entry.ID), "runs", len(draining.runs),
-		"remaining_ms", draining.entry.Remaining.Milliseconds())
 	for _, run := range draining.runs {
+		if run.stopping || run.judgedDraining || !run.assessable(loop.clock()) {
+			continue
+		}
+		run.judgedDraining = true
 		remaining := run.remainingTime(loop.clock())
 		if run.step().LongRunning || remaining > draining.entry.Remaining+drainSlack {
 			loop.stopRun(run, "worker is draining")
@@ -113,6 +128,19 @@
 	}
 }
 
+// assessable reports whether evacuate can tell how long the run still needs. A run of a former controller can be almost
+// done, so that its declared run time says nothing until the end of restoredAssessment.
+func (run *run) assessable(now time.Duration) bool {
+	return !run.restored || run.step().LongRunning || now-run.startedAt >= restoredAssessment
+}
+
+// forgetEvacuation lets evacuate judge all runs again if the worker, which is no longer draining, drains once more.
+func (worker *worker) forgetEvacuation() {
+	for _, run := range worker.runs {
+		run.judgedDraining = false
+	}
+}
+
 // connectRestored connects a worker on which runs of a former controller were restored.
 func (loop *dispatcher) connectRestored(known *worker, entry WorkerEntry) {
 	loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -95,6 +95,8 @@
 	ended atomic.Bool
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// judgedDraining is set once the run was judged by evacuate since its worker began to drain.
+	judgedDraining bool
 	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
 	restored bool
 	speeds   speedTracker
