Send a confirmed share again while an earlier order may replace it

What callers see: a best-effort task stays throttled, possibly at share 0, after the serving tasks beside it have ended; or it keeps its full share and serving tasks miss their target. Cause: the share of a run was that of its last confirmed order, for good. An order without a response can be carried out up to 12 s late, after newer ones; one that was carried out at once was not noticed if the share then returned to the last confirmed one; and a share confirmed by one incarnation counted for the run in the next one. Listings don't show the share. Change: after an order without a response the share is unknown, and for 12 s the confirmed share is sent again each second, until an order sent after that is confirmed. A new link sends the shares again. A refused order is known to have no effect and is repeated at most every 0.25 s for each run, as before.

--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -120,9 +120,9 @@
 	// time is unknown, before the worker has responded to the start or the stop of the run.
 	listedAfter time.Duration
 	// share is the percentage of time for which the run may work: the last share that the worker confirmed, or the
-	// share at the start of the run. throttlePending is set while an order to change the share is pending.
-	share           Share
-	throttlePending bool
+	// share at the start of the run.
+	share       Share
+	shareOrders shareOrders
 }
 
 func (run *run) step() workload.Step { return run.job.Steps[run.task.Step] }
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -16,7 +16,8 @@
 const (
 	// fullShare is the share of every run when it starts.
 	fullShare Share = 100
-	// unknownShare is the share of a run that a former controller started, until this term has set the share.
+	// unknownShare is the share of a run that a former controller started, until this term has set the share, and that of
+	// a run after an order without a response.
 	unknownShare Share = -1
 	// restoredShare is the share that this term first sets for best-effort runs that a former controller started.
 	restoredShare Share = 30
@@ -123,25 +124,70 @@
 // tail returns the tail latency of a serving run, which workers report as its load.
 func (status RunStatus) tail() time.Duration { return time.Duration(status.Load) * time.Millisecond }
 
-// setShare sends the share of a run, unless the run has it already or another order is pending.
+// shareOrders is what is known of the orders that set the share of a run. Listings don't show the share, so a confirmed
+// share is sent again as long as an earlier order may still replace it.
+type shareOrders struct {
+	// pending is set while an order has no known outcome.
+	pending bool
+	// link sent the last confirmed order, at confirmedAt; nil if no order was confirmed.
+	link        *link
+	confirmedAt time.Duration
+	// lateUntil is the time until which an order without a response may still be carried out; 0 if there is none.
+	lateUntil time.Duration
+}
+
+const (
+	// lateExecution is the time after its timeout within which an order without a response is carried out if at all.
+	// Such orders are known to be carried out up to 12 s after they were sent, also after newer ones.
+	lateExecution = 12 * time.Second
+	// shareRepeatInterval is the interval at which a confirmed share is sent again during lateExecution. A late share is
+	// in force for no longer, which is a fraction of the time for which a target may be missed.
+	shareRepeatInterval = time.Second
+)
+
+// due reports whether an order has to be sent for the run to have a share. With another link the run may be a new one
+// in the next incarnation of its worker, with the share of its start.
+func (orders *shareOrders) due(run *run, share Share, now time.Duration) bool {
+	if orders.pending || run.stopping {
+		return false
+	}
+	if run.share != share || orders.link != nil && orders.link != run.link {
+		return true
+	}
+	return orders.lateUntil != 0 && now-orders.confirmedAt >= shareRepeatInterval
+}
+
+// setShare sends the share of a run if that is due.
 func (loop *dispatcher) setShare(run *run, share Share) {
-	if run.share == share || run.throttlePending || run.stopping {
+	sent := loop.clock()
+	if !run.shareOrders.due(run, share, sent) {
 		return
 	}
-	run.throttlePending = true
+	run.shareOrders.pending = true
 	link := run.link
 	loop.group.Go(func() error {
 		err := link.throttle(run, share)
-		loop.post(func(*dispatcher) {
-			run.throttlePending = false
-			if err == nil {
-				run.share = share
-			}
-		})
+		loop.post(func(loop *dispatcher) { loop.handleShareOutcome(run, link, share, sent, err) })
 		return nil
 	})
 }
 
+// handleShareOutcome handles the outcome of an order that was sent at the given time. After an order without a response
+// the share of the run is not known. A refused order has changed nothing.
+func (loop *dispatcher) handleShareOutcome(run *run, link *link, share Share, sent time.Duration, err error) {
+	orders := &run.shareOrders
+	orders.pending = false
+	switch {
+	case err == nil:
+		run.share, orders.link, orders.confirmedAt = share, link, loop.clock()
+		if sent >= orders.lateUntil {
+			orders.lateUntil = 0
+		}
+	case refusalOf(err) == "":
+		run.share, orders.lateUntil = unknownShare, loop.clock()+lateExecution
+	}
+}
+
 // throttle sends the share of a run once. If the call fails, the next listing leads to another order.
 func (link *link) throttle(run *run, share Share) error {
 	ctx, cancel := context.WithTimeout(link.ctx, orderTimeout)
--- a/internal/control/throttle_test.go
+++ b/internal/control/throttle_test.go
@@ -1,9 +1,13 @@
 package control
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -51,3 +55,133 @@
 		}
 	}
 }
+
+// throttledWorkers has one run at a share. It gives no response to an order for the share lost, which it carries out
+// after the delay late.
+type throttledWorkers struct {
+	recordingWorkers
+	lost  Share
+	late  time.Duration
+	calls int
+
+	mu          sync.Mutex
+	incarnation progress.Incarnation
+	share       Share
+}
+
+func (workers *throttledWorkers) Throttle(
+	ctx context.Context, worker WorkerEntry, order ThrottleOrder,
+) (WorkerClock, error) {
+	workers.calls++
+	if order.Share != workers.lost {
+		workers.set(worker.Incarnation, order.Share)
+		return 0, nil
+	}
+	time.AfterFunc(workers.late, func() { workers.set(worker.Incarnation, order.Share) })
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (workers *throttledWorkers) set(incarnation progress.Incarnation, share Share) {
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	if incarnation == workers.incarnation {
+		workers.share = share
+	}
+}
+
+// restart begins a new incarnation, where the run starts again at its full share.
+func (workers *throttledWorkers) restart() {
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	workers.incarnation++
+	workers.share = fullShare
+}
+
+func (workers *throttledWorkers) current() Share {
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	return workers.share
+}
+
+// TestShareOrders guards against a best-effort run that stays at another share than the wanted one: after an order
+// without a response that is carried out all the same, also after a later one, and in a new incarnation. It also guards
+// against an unbounded number of orders.
+func TestShareOrders(t *testing.T) {
+	const (
+		step     = 250 * time.Millisecond
+		duration = 40 * time.Second
+		// mostWrong is how long the run may have another share than the wanted one, except while orders are lost.
+		mostWrong = 2 * time.Second
+	)
+	none := Share(-2)
+	tests := []struct {
+		name string
+		// wanted are the shares that are wanted, one after the other, for a second each and the last one from then on.
+		wanted    []Share
+		lost      Share
+		late      time.Duration
+		restarts  bool
+		mostCalls int
+	}{
+		{"all confirmed", []Share{30, 0, 100}, none, 0, false, 3},
+		{"order takes effect at once", []Share{30, 100}, 30, 0, false, 25},
+		{"order takes effect 8 s late", []Share{30, 0, 100}, 0, 8 * time.Second, false, 25},
+		{"order takes effect 12 s late", []Share{100, 30, 0}, 30, 12 * time.Second, false, 25},
+		{"new incarnation", []Share{30}, none, 0, true, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				workers := &throttledWorkers{lost: test.lost, late: test.late, incarnation: 1, share: fullShare}
+				loop, began := newTestLoop(t, 1), time.Now()
+				loop.Workers, loop.Clock = workers, func() time.Duration { return time.Since(began) }
+				worker := loop.workers["w0000"]
+				loop.connect(worker, worker.entry, 1, 0)
+				worker.settled = true
+				job := loop.submit(1, workload.Step{
+					Tasks: 1, Each: workload.Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 1},
+					Estimate: time.Second, BestEffortCPU: true,
+				})
+				loop.plan()
+				placed := worker.runs[workload.TaskID{Job: job.ID}]
+				placed.startSent = true
+				wrong, wanted := time.Duration(0), fullShare
+				for at := time.Duration(0); at < duration; at += step {
+					wanted = test.wanted[min(int(at/time.Second), len(test.wanted)-1)]
+					if test.restarts && at == 2*time.Second {
+						workers.restart()
+						loop.restart(worker)
+					}
+					loop.setShare(placed, wanted)
+					time.Sleep(step)
+					loop.handleEvents()
+					if workers.current() != wanted && wanted != test.lost {
+						wrong += step
+					}
+				}
+				if workers.current() != wanted || wrong > mostWrong {
+					t.Errorf("share %d at the end, want %d; %v at another share, want at most %v", workers.current(),
+						wanted, wrong, mostWrong)
+				}
+				if workers.calls > test.mostCalls {
+					t.Errorf("%d orders, want at most %d", workers.calls, test.mostCalls)
+				}
+				worker.link.cancel()
+				_ = loop.group.Wait()
+			})
+		})
+	}
+}
+
+// handleEvents calls the functions that were posted to the loop.
+func (test *testLoop) handleEvents() {
+	for {
+		select {
+		case event := <-test.events:
+			event(test.dispatcher)
+		default:
+			return
+		}
+	}
+}
