Raise the token of a worker that is removed and listed again

What callers see: the term ends ("worker has seen the token of a later term") and nothing is decided until the next one, when a worker comes back that had restarted earlier in the term and had lost its entry. Cause: the worker was removed with its link, so that the next link began with the first token of the term. The worker had received a higher one, and refused it. A refused token is taken for that of a later term. Change: the last token of a removed worker is kept for the rest of the term, and the next link has a higher one, so that late orders of the former link are refused too.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -102,8 +102,10 @@
 	// invalidRecords are the jobs whose records cannot be decoded or do not match the job.
 	invalidRecords map[fleet.JobID]bool
 	workers        map[fleet.WorkerID]*worker
-	claims         map[workload.TaskID]*claim
-	advice         advice
+	// formerTokens has the last tokens of the workers that were removed in this term.
+	formerTokens map[fleet.WorkerID]Token
+	claims       map[workload.TaskID]*claim
+	advice       advice
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// pendingCommits is the number of transactions without a known outcome.
@@ -126,7 +128,7 @@
 		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
-		claims: map[workload.TaskID]*claim{},
+		formerTokens: map[fleet.WorkerID]Token{}, claims: map[workload.TaskID]*claim{},
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
@@ -325,6 +327,7 @@
 
 func (loop *dispatcher) removeWorker(worker *worker) {
 	worker.link.cancel()
+	loop.formerTokens[worker.entry.ID] = worker.link.token
 	delete(loop.workers, worker.entry.ID)
 	loop.Logger.Info("worker removed", "worker", string(worker.entry.ID))
 }
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -73,7 +73,7 @@
 	case known == nil:
 		known = newWorker(entry)
 		loop.workers[entry.ID] = known
-		loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
+		loop.connect(known, entry, loop.firstToken(entry.ID), loop.started+loop.FormerLeaseLimit)
 	case known.link == nil:
 		// Runs of a former controller were restored on this worker before its entry, which has the address, was read.
 		loop.connectRestored(known, entry)
@@ -141,9 +141,18 @@
 	}
 }
 
+// firstToken returns the token for the first link to a worker or, if the worker was removed in this term and is listed
+// again, for the next one: the worker refuses tokens below those that it has received.
+func (loop *dispatcher) firstToken(id fleet.WorkerID) Token {
+	if former, ok := loop.formerTokens[id]; ok {
+		return former + 1
+	}
+	return Token(loop.term.Token) * tokenStep
+}
+
 // connectRestored connects a worker on which runs of a former controller were restored.
 func (loop *dispatcher) connectRestored(known *worker, entry WorkerEntry) {
-	loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
+	loop.connect(known, entry, loop.firstToken(entry.ID), loop.started+loop.FormerLeaseLimit)
 	for _, run := range known.runs {
 		run.link = known.link
 		if run.stopping {
