Keep the latest status of a job that is not known yet

What callers see: nothing today, since the statuses arrive in order and a job is read right after its status. In another order a cancelled job would start. Cause: a status that arrived before its job replaced a later one, unlike a status that arrives after its job. Change: the revisions are compared in both cases. Evidence: TestCancellationBeforeJob failed before in the case of an older status after the cancellation.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -107,7 +107,9 @@
 		entry := ledger.StatusEntry{Status: status, Revision: change.Revision}
 		job := loop.jobs[id]
 		if job == nil {
-			loop.pendingStatuses[id] = entry
+			if entry.Revision > loop.pendingStatuses[id].Revision {
+				loop.pendingStatuses[id] = entry
+			}
 			continue
 		}
 		loop.adoptStatus(job, entry)
