Deliver statuses to the dispatcher of a term before it reads them

What callers see: if the process is suspended at the wrong moment, a cancellation that is stored while a term begins is not seen in that term, and the job runs on. Cause: the dispatcher began to read the statuses before it was registered for their changes. A change between its read and the registration reached neither. Change: it is registered first. Deliveries wait in its queue until the statuses have been read. Evidence: by reading only. The window is between two statements, and no test that hits it was found.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -62,8 +62,9 @@
 func (controller *Controller) Lead(ctx context.Context, held *term.Term) {
 	group, ctx := errgroup.WithContext(ctx)
 	loop := newDispatcher(ctx, controller, held, group)
-	group.Go(loop.run)
+	// A status that changes after load has read the statuses must be delivered, so this comes before load.
 	controller.current.Store(loop)
+	group.Go(loop.run)
 	err := group.Wait()
 	controller.current.Store(nil)
 	loop.closeLinks()
