Drop an expired job only once the store has deleted its documents

What callers see: the term ends ("stored records differ from those that this term wrote") long after a job has ended. Cause: an expired job was dropped before its documents were deleted. If the deletion failed and the jobs were listed again, the job counted as new and was placed. Only the condition on its record kept its tasks from a second start. Change: a job is dropped when its deletion is confirmed, and its record is not written meanwhile. Evidence: TestRemovalWithoutResponse failed before: the task of the ended job was placed, and the documents stayed.

--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -49,6 +49,9 @@
 	}
 	var current batch
 	for _, job := range loop.dirty {
+		if job.removing {
+			continue
+		}
 		if len(current.versions) == 0 {
 			current.txn.Conditions = append(current.txn.Conditions, loop.term.Condition())
 		}
@@ -200,25 +203,35 @@
 	var expired []*job
 	for id, job := range loop.jobs {
 		old := job.status.State.Terminal() && time.Since(job.status.Ended) > loop.Retention
-		if !old || job.record.AnyPlaced() || len(txn.Deletes)+3 >= keyvalue.MaxEntries {
+		if !old || job.removing || job.record.AnyPlaced() || len(txn.Deletes)+3 >= keyvalue.MaxEntries {
 			continue
 		}
 		txn.Deletes = append(txn.Deletes, ledger.JobKey(id), ledger.RecordKey(id), ledger.StatusKey(id))
+		job.removing = true
 		expired = append(expired, job)
 	}
 	if len(expired) == 0 {
 		return
 	}
-	for _, job := range expired {
-		loop.removeJob(job.ID)
-	}
 	loop.group.Go(func() error {
 		ctx, cancel := context.WithTimeout(loop.ctx, commitTimeout)
 		defer cancel()
-		if _, err := loop.Store.Commit(ctx, txn); err != nil {
-			// The controller of the next term finds the documents again and removes them.
-			loop.Logger.Info("expired jobs not removed", "jobs", len(expired), "error", err.Error())
-		}
+		_, err := loop.Store.Commit(ctx, txn)
+		loop.post(func(loop *dispatcher) { loop.handleRemovalOutcome(expired, err) })
 		return nil
 	})
 }
+
+// handleRemovalOutcome drops jobs whose documents were deleted. Other jobs are kept, because a job without an entry here
+// counts as new when its document is listed again; the next search finds them once more.
+func (loop *dispatcher) handleRemovalOutcome(expired []*job, err error) {
+	for _, job := range expired {
+		job.removing = false
+		if err == nil {
+			loop.removeJob(job.ID)
+		}
+	}
+	if err != nil {
+		loop.Logger.Info("expired jobs not removed", "jobs", len(expired), "error", err.Error())
+	}
+}
--- a/internal/control/jobs_test.go
+++ b/internal/control/jobs_test.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
@@ -50,3 +52,53 @@
 		})
 	}
 }
+
+// removalStore returns err for each transaction and counts them.
+type removalStore struct {
+	keyvalue.Store
+	err     error
+	commits int
+}
+
+func (store *removalStore) Commit(context.Context, keyvalue.Txn) (keyvalue.Revision, error) {
+	store.commits++
+	return 1, store.err
+}
+
+// TestRemovalWithoutResponse guards against an ended job whose tasks are placed again, because the removal of its
+// documents failed and they are listed again. It also guards against documents that stay until the next term.
+func TestRemovalWithoutResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &removalStore{err: keyvalue.ErrNoAnswer}
+		loop, began := newTestLoop(t, 1), time.Now()
+		loop.Store, loop.Retention, loop.Clock = store, time.Minute, func() time.Duration { return time.Since(began) }
+		job := loop.submit(1, workload.Step{
+			Tasks: 1, Each: workload.Resources{Millicores: 1}, MaxPerWorker: 1, Estimate: time.Second,
+		})
+		document := keyvalue.Change{Item: keyvalue.Item{
+			Key: ledger.JobKey(job.ID), Value: ledger.Encode(job.Job), Revision: 1,
+		}}
+		loop.observeStatuses(statusChange(progress.Cancelled, 2))
+		for range 3 {
+			time.Sleep(2 * expiryInterval)
+			loop.sweep()
+			synctest.Wait()
+			loop.handleEvents()
+			loop.observeJobs([]keyvalue.Change{document})
+			loop.plan()
+		}
+		if again := loop.jobs[job.ID]; again != nil && placedTasks(again) > 0 {
+			t.Error("task of the ended job is placed")
+		}
+		store.err = nil
+		time.Sleep(2 * expiryInterval)
+		loop.sweep()
+		synctest.Wait()
+		loop.handleEvents()
+		if loop.jobs[job.ID] != nil || store.commits < 2 {
+			t.Errorf("job is kept: %t, after %d transactions; want it removed by a later one",
+				loop.jobs[job.ID] != nil, store.commits)
+		}
+		_ = loop.group.Wait()
+	})
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -22,6 +22,8 @@
 	recordRevision keyvalue.Revision
 	// writing is set while a version of the record is being stored.
 	writing bool
+	// removing is set while the job's documents are being deleted.
+	removing bool
 	// onStored are called once the present version of the record is stored.
 	onStored []func()
 	// failedOn are the workers on which runs of the job failed in this term.
