--- a/internal/control/jobs_test.go
+++ b/internal/control/jobs_test.go
@@ -102,3 +102,27 @@
 		_ = loop.group.Wait()
 	})
 }
+
+// TestEndOfRemovedJobIsAcknowledged guards against a worker whose ends are no longer acknowledged, because a job was
+// removed between the end of its last run and the write of its record.
+func TestEndOfRemovedJobIsAcknowledged(t *testing.T) {
+	for _, err := range []error{nil, keyvalue.ErrNoAnswer} {
+		withPlacedTask(t, func(loop *testLoop, _ *recordingWorkers, worker *worker, job *job) {
+			synctest.Wait()
+			loop.Store, loop.Retention, loop.now = &removalStore{err: err}, time.Minute, 2*expiryInterval
+			job.onStored = nil
+			loop.observeStatuses(statusChange(progress.Cancelled, 2))
+			loop.processEnds(worker, []RunEnd{
+				{Number: 1, Task: workload.TaskID{Job: job.ID}, Run: 1, How: progress.RunStopped},
+			})
+			loop.sweep()
+			synctest.Wait()
+			loop.observeJobs([]keyvalue.Change{{Item: keyvalue.Item{Key: ledger.JobKey(job.ID)}, Deleted: true}})
+			loop.handleEvents()
+			if loop.jobs[job.ID] != nil || worker.acknowledgeable() != 1 {
+				t.Errorf("outcome of the removal %v: job is kept: %t, ends up to %d can be acknowledged; want 1", err,
+					loop.jobs[job.ID] != nil, worker.acknowledgeable())
+			}
+		})
+	}
+}
