Bound the ends that a withheld acknowledgement keeps listed

What callers see: on a worker that lists the end of a superseded run, no further end is seen once 500 runs have ended there; jobs stay running until the term ends. Cause: the end of a run whose task was placed again is withheld from acknowledgement, and with it all later ends of the worker, for the rest of the term. A listing holds 500 ends. Change: from 250 listed ends on, withheld ends are acknowledged. Neither the end of the job nor a later expiry of leases releases one: the first would acknowledge work that ran twice, the second proves nothing about an earlier outage. Evidence: TestWithheldEndIsBounded failed before with 499 ends of which none could be acknowledged.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -164,7 +164,7 @@
 func (loop *dispatcher) connect(worker *worker, entry WorkerEntry, token Token, formerLeasesUntil time.Duration) {
 	worker.entry = entry
 	worker.settled, worker.unresponsive = false, false
-	worker.lastEnd, worker.unstoredEnds = 0, map[int64]bool{}
+	worker.lastEnd, worker.unstoredEnds, worker.withheldEnds = 0, map[int64]bool{}, nil
 	worker.link = newLink(loop.ctx, loop, entry, token, formerLeasesUntil)
 	worker.updateLink()
 }
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -99,6 +99,7 @@
 		loop.deferAcknowledgement(worker, run.job, end.Number)
 		loop.endRun(run, end.How, end.Checkpoint, "listed")
 	}
+	loop.releaseWithheld(worker, len(ends))
 }
 
 // lastLeaseExpiry returns the highest number among the ends of runs whose leases expired, or 0 if there is none.
@@ -127,7 +128,7 @@
 		loop.deferAcknowledgement(worker, job, end.Number)
 	case job.open() && job.record.Superseded(end.Task, end.Run) && lastExpiry < end.Number:
 		outcome = "withheld"
-		worker.unstoredEnds[end.Number] = true
+		worker.withhold(end.Number)
 	}
 	loop.Logger.Info("end of an unknown run", "task", end.Task.String(), "run", int(end.Run),
 		"how", string(end.How), "worker", string(worker.entry.ID), "outcome", outcome)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -160,6 +160,8 @@
 	// unstoredEnds are the numbers of the ends that must not be acknowledged yet. Most of them wait until the record
 	// that counts them is stored; for the others see processUnknownEnd.
 	unstoredEnds map[int64]bool
+	// withheldEnds are those of the unstoredEnds that no record counts.
+	withheldEnds []int64
 	health       workerhealth.Health
 	throttle     throttleState
 }
