Keep unstored ends unacknowledged when a worker changes its address

What callers see: a task that was done runs again, if the controller fails while a slow store has not confirmed its end and the worker has just taken another address. Cause: the new link forgot which ends were processed. The worker lists the end again, where it is that of an unknown run, and it was acknowledged at once, before the record that counts it was stored. Change: the numbers of the ends are forgotten only with the incarnation that gave them. Evidence: TestUnstoredEndAfterAddressChange failed before: the end could be acknowledged before it was stored.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -161,10 +161,14 @@
 	}
 }
 
+// connect replaces the link of a worker, if any. The ends of the same incarnation keep their numbers: those that are
+// listed again were processed, and must not be acknowledged before they are stored. Incarnation 0 is not known.
 func (loop *dispatcher) connect(worker *worker, entry WorkerEntry, token Token, formerLeasesUntil time.Duration) {
 	worker.entry = entry
 	worker.settled, worker.unresponsive = false, false
-	worker.lastEnd, worker.unstoredEnds, worker.withheldEnds = 0, map[int64]bool{}, nil
+	if worker.link == nil || entry.Incarnation == 0 || entry.Incarnation != worker.link.entry.Incarnation {
+		worker.lastEnd, worker.unstoredEnds, worker.withheldEnds = 0, map[int64]bool{}, nil
+	}
 	worker.link = newLink(loop.ctx, loop, entry, token, formerLeasesUntil)
 	worker.updateLink()
 }
--- a/internal/control/entries_test.go
+++ b/internal/control/entries_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -83,3 +84,26 @@
 		})
 	}
 }
+
+// TestUnstoredEndAfterAddressChange guards against the acknowledgement of an end that is not stored, because the worker
+// lists the end again under a new address. The next controller would start its task again.
+func TestUnstoredEndAfterAddressChange(t *testing.T) {
+	withPlacedTask(t, func(loop *testLoop, _ *recordingWorkers, worker *worker, job *job) {
+		job.onStored = nil
+		ends := []RunEnd{{Number: 1, Task: workload.TaskID{Job: job.ID}, Run: 1, How: progress.RunDone}}
+		loop.processEnds(worker, ends)
+		entry := worker.entry
+		entry.Address = "other"
+		loop.observeWorker(entry)
+		loop.processEnds(worker, ends)
+		if worker.acknowledgeable() != 0 {
+			t.Errorf("ends up to %d can be acknowledged before they are stored, want none", worker.acknowledgeable())
+		}
+		for _, after := range job.onStored {
+			after()
+		}
+		if worker.acknowledgeable() != 1 {
+			t.Errorf("ends up to %d can be acknowledged after they are stored, want 1", worker.acknowledgeable())
+		}
+	})
+}
