Send no further attempt to start a run that has ended

What callers see: a task runs twice at the same time. Cause: a start without a response is attempted three times within 1.5 s. An attempt was also sent when the run had ended meanwhile, such as when its stop was followed by a listing without it, and the task was placed elsewhere. Change: an attempt is sent only while the run has not ended. Evidence: TestNoStartOfEndedRun failed before with three attempts instead of one.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -252,11 +252,11 @@
 	stopRetry = 250 * time.Millisecond
 )
 
-// start sends the start of a run until the worker responds or maxStartAttempts is reached.
+// start sends the start of a run until the worker responds, the run has ended or maxStartAttempts is reached.
 func (link *link) start(run *run, order StartOrder) {
 	var err error
 	attempts := 0
-	for attempts < maxStartAttempts {
+	for attempts < maxStartAttempts && !run.ended.Load() {
 		attempts++
 		order.Deadline, order.Token = link.deadline(), link.token
 		ctx, cancel := context.WithTimeout(link.ctx, time.Duration(attempts)*startTimeout)
