Pause requests for tickets that a worker refuses again and again

What callers see: with one worker that refuses all tickets, jobs under advice wait although other workers are free, and the store and the adviser are kept busy: each round is a request, two writes and a refused start. Cause: a refused ticket was dropped and requested again at once, without a bound. Change: after the second refusal in succession another ticket for that worker is requested only after 1 s, which doubles up to 8 s; meanwhile the worker counts as not permitted and others are asked about. The first refusal has no pause, because a ticket may expire on its way.

--- a/internal/control/advice.go
+++ b/internal/control/advice.go
@@ -39,15 +39,25 @@
 	adviceTimeout = time.Second
 	// adviceRetry is the pause after a failed call.
 	adviceRetry = 250 * time.Millisecond
+	// ticketPause is the pause after the second ticket in succession that a worker refused. It doubles
+	// ticketPauseDoublings times, to 8 s. After the first one there is none, because a ticket may expire on its way.
+	ticketPause          = time.Second
+	ticketPauseDoublings = 3
+	// ticketSuccession is the time within which refusals of tickets count as in succession. It is longer than the
+	// longest pause.
+	ticketSuccession = 10 * time.Second
 )
 
 // permit is the adviser's decision on whether one incarnation of a worker may run a step.
 type permit struct {
 	incarnation progress.Incarnation
-	// ticket is empty if the worker may not run the step.
+	// ticket is empty if the worker may not run the step or has refused its ticket.
 	ticket Ticket
-	// until is the time from which the ticket is no longer used.
+	// until is the time from which the ticket is no longer used or, if the worker refused it, another one is requested.
 	until time.Duration
+	// refusals is the number of tickets in succession that the worker refused, the last one at refusedAt.
+	refusals  int
+	refusedAt time.Duration
 }
 
 // advice caches the adviser's decisions. At most one call to the adviser is pending at a time.
@@ -60,10 +70,11 @@
 
 // current returns the permit of a worker for a step and whether the permit is still valid. A permit without a ticket
 // means that the worker may not run the step. Such a permit never expires and covers all incarnations of the worker,
-// because the set of workers that may run a step does not change.
+// because the set of workers that may run a step does not change; but after a refused ticket it is valid only for a
+// pause.
 func (advice *advice) current(step workload.StepID, worker *worker, now time.Duration) (permit, bool) {
 	permit, ok := advice.permits[step][worker.entry.ID]
-	if !ok || permit.ticket == "" {
+	if !ok || permit.ticket == "" && permit.refusals == 0 {
 		return permit, ok
 	}
 	return permit, permit.incarnation == worker.entry.Incarnation && now < permit.until
@@ -78,9 +89,22 @@
 	return permit.ticket
 }
 
-// drop removes a ticket that a worker has refused.
-func (advice *advice) drop(step workload.StepID, id fleet.WorkerID) {
-	delete(advice.permits[step], id)
+// drop removes a ticket that a worker has refused. Several starts with one ticket may be refused.
+func (advice *advice) drop(step workload.StepID, id fleet.WorkerID, now time.Duration) {
+	refused, ok := advice.permits[step][id]
+	if !ok || refused.ticket == "" {
+		return
+	}
+	if now-refused.refusedAt > ticketSuccession {
+		refused.refusals = 0
+	}
+	pause := time.Duration(0)
+	if refused.refusals > 0 {
+		pause = ticketPause << min(refused.refusals-1, ticketPauseDoublings)
+	}
+	refused.ticket, refused.until, refused.refusedAt = "", now+pause, now
+	refused.refusals++
+	advice.permits[step][id] = refused
 }
 
 // dropEndedAdvice removes the permits for jobs that have ended.
@@ -207,7 +231,11 @@
 		loop.advice.permits[step] = permits
 	}
 	for id, incarnation := range incarnations {
-		permits[id] = permit{incarnation: incarnation, ticket: tickets[id], until: until}
+		decided := permit{incarnation: incarnation, ticket: tickets[id], until: until}
+		if former := permits[id]; decided.ticket != "" && former.incarnation == incarnation {
+			decided.refusals, decided.refusedAt = former.refusals, former.refusedAt
+		}
+		permits[id] = decided
 	}
 	loop.Logger.Info("advice received", "job", string(step.Job), "occurrence", step.Occurrence, "step", step.Step,
 		"workers", len(incarnations), "allowed", len(tickets))
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -314,7 +314,7 @@
 	case RefusedUnhealthy:
 		worker.health.Pause(loop.clock(), unhealthyPause)
 	case RefusedTicket:
-		loop.advice.drop(placed.task.StepID(), worker.entry.ID)
+		loop.advice.drop(placed.task.StepID(), worker.entry.ID, loop.clock())
 	case RefusedCapacity, RefusedExpired, RefusedInvalid:
 		// Without the pause the next plan would decide and store the same start, and the worker would refuse it again.
 		worker.health.Pause(loop.clock(), refusalPause)
