Let other steps ask for advice while the calls for one fail

What callers see: jobs under advice wait for ever, because the adviser fails for a more urgent job. Cause: 0.25 s after a failed call the next one was for the same step again, the first in the order of urgency. Change: the pause for a step doubles from 0.25 to 2 s, and a successful call for any step ends all pauses. Evidence: TestAdviceFailsForSomeSteps failed before with no placed task after 5 s.

--- a/internal/control/advice.go
+++ b/internal/control/advice.go
@@ -37,8 +37,10 @@
 	adviceSlack = 500 * time.Millisecond
 	// adviceTimeout is added to the time that the adviser needs for its decisions to get the timeout of a call.
 	adviceTimeout = time.Second
-	// adviceRetry is the pause after a failed call.
-	adviceRetry = 250 * time.Millisecond
+	// adviceRetry is the pause after a failed call. For the same step it doubles adviceRetryDoublings times, to 2 s, so
+	// that the calls for other steps get their turn if only some fail.
+	adviceRetry          = 250 * time.Millisecond
+	adviceRetryDoublings = 3
 	// ticketPause is the pause after the second ticket in succession that a worker refused. It doubles
 	// ticketPauseDoublings times, to 8 s. After the first one there is none, because a ticket may expire on its way.
 	ticketPause          = time.Second
@@ -66,6 +68,31 @@
 	callPending bool
 	// retryFrom is the earliest time of the next call after a failure.
 	retryFrom time.Duration
+	// failures are the steps for which calls failed since the last successful call for any step.
+	failures map[workload.StepID]adviceFailures
+}
+
+// adviceFailures counts the failed calls for a step. The next one is made from retryFrom on.
+type adviceFailures struct {
+	count     int
+	retryFrom time.Duration
+}
+
+// recordFailure records a failed call for a step.
+func (advice *advice) recordFailure(step workload.StepID, now time.Duration) {
+	advice.retryFrom = now + adviceRetry
+	failures := advice.failures[step]
+	failures.retryFrom = now + adviceRetry<<min(failures.count, adviceRetryDoublings)
+	failures.count++
+	if advice.failures == nil {
+		advice.failures = map[workload.StepID]adviceFailures{}
+	}
+	advice.failures[step] = failures
+}
+
+// mayAsk reports whether a call for a step may be made.
+func (advice *advice) mayAsk(step workload.StepID, now time.Duration) bool {
+	return !advice.callPending && now >= max(advice.retryFrom, advice.failures[step].retryFrom)
 }
 
 // current returns the permit of a worker for a step and whether the permit is still valid. A permit without a ticket
@@ -107,8 +134,11 @@
 	advice.permits[step][id] = refused
 }
 
-// dropEndedAdvice removes the permits for jobs that have ended.
+// dropEndedAdvice removes the permits and failures for jobs that have ended.
 func (loop *dispatcher) dropEndedAdvice() {
+	maps.DeleteFunc(loop.advice.failures, func(step workload.StepID, _ adviceFailures) bool {
+		return loop.openJobs[step.Job] == nil
+	})
 	maps.DeleteFunc(loop.advice.permits, func(step workload.StepID, _ map[fleet.WorkerID]permit) bool {
 		return loop.openJobs[step.Job] == nil
 	})
@@ -188,14 +218,13 @@
 	return found
 }
 
-// askAdviser requests tickets for workers, unless a call to the adviser is pending or failed less than adviceRetry ago.
+// askAdviser requests tickets for workers, unless a call to the adviser is pending or failed a short time ago.
 func (loop *dispatcher) askAdviser(candidate candidate, workers []*placement.Worker) {
-	now := loop.clock()
-	if loop.advice.callPending || now < loop.advice.retryFrom {
+	now, step, advicePolicy := loop.clock(), candidate.stepID(), candidate.job.policy.Advice
+	if !loop.advice.mayAsk(step, now) {
 		return
 	}
 	loop.advice.callPending = true
-	step, advicePolicy := candidate.stepID(), candidate.job.policy.Advice
 	incarnations := make(map[fleet.WorkerID]progress.Incarnation, len(workers))
 	ids := make([]fleet.WorkerID, len(workers))
 	for i, worker := range workers {
@@ -220,11 +249,12 @@
 ) {
 	loop.advice.callPending, loop.planNeeded = false, true
 	if err != nil {
-		loop.advice.retryFrom = loop.clock() + adviceRetry
+		loop.advice.recordFailure(step, loop.clock())
 		loop.Logger.Warn("no advice", "job", string(step.Job), "step", step.Step, "workers", len(incarnations),
 			"error", err.Error())
 		return
 	}
+	loop.advice.failures = nil
 	permits := loop.advice.permits[step]
 	if permits == nil {
 		permits = map[fleet.WorkerID]permit{}
