--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -222,7 +222,7 @@
 	})
 }
 
-// handleRemovalOutcome drops jobs whose documents were deleted. Other jobs are kept, because a job without an entry here
+// handleRemovalOutcome drops jobs whose documents were deleted. Other jobs are kept, because a job that is not known
 // counts as new when its document is listed again; the next search finds them once more.
 func (loop *dispatcher) handleRemovalOutcome(expired []*job, err error) {
 	for _, job := range expired {
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -112,8 +112,8 @@
 
 // evacuate stops the runs of a draining worker that are not expected to end before the worker leaves. Their tasks
 // resume elsewhere from their checkpoints. Without a checkpoint a task at least starts over sooner than if it ran until
-// the worker leaves. It is called at each report of a draining worker and judges each run once, because later the little
-// time that remains would make a small error of the estimate stop a run that is almost done.
+// the worker leaves. It is called at each report of a draining worker and judges each run once, because later the
+// little time that remains would make a small error of the estimate stop a run that is almost done.
 func (loop *dispatcher) evacuate(draining *worker) {
 	for _, run := range draining.runs {
 		if run.stopping || run.judgedDraining || !run.assessable(loop.clock()) {
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -34,8 +34,8 @@
 	loop.planNeeded = true
 }
 
-// removeJob drops a job whose documents were deleted from the store. No version of its record is stored any more. If the
-// job has ended, the functions that wait for one are called, because some of them allow the acknowledgement of ends.
+// removeJob drops a job whose documents were deleted from the store. No version of its record is stored any more. If
+// the job has ended, the functions that wait for one are called: some of them allow the acknowledgement of ends.
 func (loop *dispatcher) removeJob(id fleet.JobID) {
 	job := loop.jobs[id]
 	delete(loop.jobs, id)
