Show two faults of starts beside stopping runs

Both tests fail on this code:

- TestNoStartAfterItsRunHasEnded: a start grants its lease only in the goroutine that sends it.
The worker runs it while its task is free to start elsewhere.
- TestNoStartAttemptAfterOrderToStop: attempts to start a run go on after the order to stop it, so that a task of a cancelled job starts while its stop is refused.

--- a/internal/control/review_test.go
+++ b/internal/control/review_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -206,3 +207,77 @@
 		}
 	})
 }
+
+// switchedWorker loses starts, or fails polls, while the flags are set.
+type switchedWorker struct {
+	*fakeWorker
+	loseStart, failPolls bool
+}
+
+func (worker *switchedWorker) Start(ctx context.Context, entry WorkerEntry, order StartOrder) (WorkerClock, error) {
+	if worker.loseStart {
+		return neverStarting{}.Start(ctx, entry, order)
+	}
+	return worker.fakeWorker.Start(ctx, entry, order)
+}
+
+func (worker *switchedWorker) Poll(ctx context.Context, entry WorkerEntry, order PollOrder) (Listing, error) {
+	if listing, err := worker.fakeWorker.Poll(ctx, entry, order); !worker.failPolls {
+		return listing, err
+	}
+	return Listing{}, &RefusalError{Reason: RefusedUnhealthy}
+}
+
+// TestNoStartAfterItsRunHasEnded guards against a start that goes out after the leases on its worker counted as expired
+// and its run as ended. Polls grant no lease while only stopping runs are left, so that the leases count as expired as soon
+// as one poll fails, also between sendStart and the moment at which the goroutine that sends the start grants its lease.
+func TestNoStartAfterItsRunHasEnded(t *testing.T) {
+	// One processor lets the loop end the run before the goroutine starts, as on a busy VM.
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		switched := &switchedWorker{fakeWorker: fake, loseStart: true}
+		loop.Workers = switched
+		fake.set(func() { fake.refuseStops = true })
+		loop.startTasks(1)
+		loop.pump(10 * time.Second)
+		job := loop.submit(1, smallTask(1))
+		loop.plan()
+		fake.set(func() { switched.loseStart, switched.failPolls = false, true })
+		for range 20 {
+			loop.pump(50 * time.Millisecond)
+			if worker.unresponsive {
+				break
+			}
+		}
+		placed := worker.runs[workload.TaskID{Job: job.ID}]
+		if placed == nil {
+			t.Fatal("the run ended before its record was stored")
+		}
+		sendStored(job)
+		loop.sweep()
+		ended := placed.ended.Load()
+		loop.pump(time.Second)
+		if ended && len(fake.running) > 0 {
+			t.Errorf("the worker runs %v, but the task is %q and may start elsewhere", fake.running,
+				job.record.Occurrences[0].Steps[0].Tasks[0].Phase)
+		}
+	})
+}
+
+// TestNoStartAttemptAfterOrderToStop guards against further attempts to start a run once it is to be stopped: with its stop
+// refused, they start a task of a cancelled job.
+func TestNoStartAttemptAfterOrderToStop(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, _ *worker) {
+		switched := &switchedWorker{fakeWorker: fake, loseStart: true}
+		loop.Workers = switched
+		fake.set(func() { fake.refuseStops = true })
+		job := loop.startTasks(1)
+		loop.pump(100 * time.Millisecond)
+		loop.stopJob(job)
+		fake.set(func() { switched.loseStart = false })
+		loop.pump(time.Second)
+		if len(fake.running) > 0 {
+			t.Errorf("the worker runs %v, whose start was sent again after its job was stopped", fake.running)
+		}
+	})
+}
