Let only runs that have not ended take the turns of refused stops

Found by the review: runs that ended while the worker refused their stops each took a turn and its pause of up to 1 s.

The right to send the next stop is a value that one waiting run takes now, and that a run which has ended passes on at once. Only one timer runs for each gate, where all waiting runs woke up at each pause before.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -60,7 +60,7 @@
 	created := &link{
 		loop: loop, entry: entry, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1), token: token,
 		clock: entry.Clock, clockAt: loop.clock() - time.Since(entry.ReadAt), formerLeasesUntil: formerLeasesUntil,
-		stops: &stopGate{clock: loop.Clock},
+		stops: newStopGate(),
 	}
 	loop.group.Go(func() error {
 		created.run()
--- a/internal/control/stopgate.go
+++ b/internal/control/stopgate.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/quetzalstall/quetzalstall/internal/term"
 )
 
 const (
@@ -16,78 +14,75 @@
 )
 
 // stopGate limits the stops that a worker receives while it refuses them. Stops to a worker that confirms them, or does
-// not answer, pass at once. After a refusal one stop passes after each pause, whichever run it is for, and the first
-// confirmed stop lets all others pass.
+// not answer, pass at once. After a refusal the gate is closed: one stop passes after each pause, as a probe for all runs,
+// and the first confirmed stop lets all others pass.
 type stopGate struct {
-	clock term.Clock
+	// turn holds at most one value: the right to send the next probe.
+	turn chan struct{}
 
 	mu sync.Mutex
-	// pause is the time between two stops; 0 while the gate is open.
+	// pause is the time between two probes; 0 while the gate is open.
 	pause time.Duration
-	// next is the earliest time of the next stop while the gate is closed.
-	next time.Duration
 	// opened is closed when the gate opens. It is nil while the gate is open.
 	opened chan struct{}
-	// changes counts the changes of pause, so that several stops which were refused at the same time count as one.
-	changes int
 }
 
-// pass waits until a stop may be sent or ctx is done. It returns the number of changes that recordRefusal expects.
-func (gate *stopGate) pass(ctx context.Context) (changes int, err error) {
-	for ctx.Err() == nil {
-		wait, opened, changes := gate.tryPass()
-		if wait <= 0 {
-			return changes, nil
-		}
-		bounded, cancel := context.WithTimeout(ctx, wait)
-		select {
-		case <-opened:
-		case <-bounded.Done():
-		}
-		cancel()
+func newStopGate() *stopGate { return &stopGate{turn: make(chan struct{}, 1)} }
+
+// pass waits until a stop may be sent or ctx is done, and reports whether the stop is a probe. The outcome of each stop
+// that passed must be recorded.
+func (gate *stopGate) pass(ctx context.Context) (probe bool, err error) {
+	gate.mu.Lock()
+	opened := gate.opened
+	gate.mu.Unlock()
+	if opened == nil {
+		return false, ctx.Err()
+	}
+	select {
+	case <-opened:
+		return false, nil
+	case <-gate.turn:
+		return true, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
 	}
-	return 0, ctx.Err()
 }
 
-// tryPass takes the turn of the next stop, or returns how long it is to that turn.
-func (gate *stopGate) tryPass() (wait time.Duration, opened <-chan struct{}, changes int) {
+// recordConfirmation opens the gate after a stop was confirmed.
+func (gate *stopGate) recordConfirmation() {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
-	if gate.pause == 0 {
-		return 0, nil, gate.changes
+	if gate.opened != nil {
+		close(gate.opened)
 	}
-	now := gate.clock()
-	if now < gate.next {
-		return gate.next - now, gate.opened, gate.changes
-	}
-	gate.next = now + gate.pause
-	return 0, nil, gate.changes
+	gate.opened, gate.pause = nil, 0
 }
 
-// recordRefusal closes the gate after a stop was refused. changes is the value that pass returned for this stop.
-func (gate *stopGate) recordRefusal(changes int) {
+// recordRefusal closes the gate after a stop was refused. Stops that were sent before the gate closed, and are refused
+// after, change nothing.
+func (gate *stopGate) recordRefusal(probe bool) {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
-	if changes != gate.changes {
+	if gate.opened != nil && !probe {
 		return
 	}
-	if gate.pause == 0 {
+	if gate.opened == nil {
 		gate.opened = make(chan struct{})
 	}
-	gate.changes++
 	gate.pause = min(max(2*gate.pause, firstRefusedStopPause), maxRefusedStopPause)
-	gate.next = gate.clock() + gate.pause
+	time.AfterFunc(gate.pause, gate.grantTurn)
 }
 
-// recordConfirmation opens the gate after a stop was confirmed.
-func (gate *stopGate) recordConfirmation() {
-	gate.mu.Lock()
-	defer gate.mu.Unlock()
-	if gate.pause == 0 {
-		return
+// recordNoOutcome lets another run probe after a stop that was not sent or had no response.
+func (gate *stopGate) recordNoOutcome(probe bool) {
+	if probe {
+		gate.grantTurn()
+	}
+}
+
+func (gate *stopGate) grantTurn() {
+	select {
+	case gate.turn <- struct{}{}:
+	default:
 	}
-	close(gate.opened)
-	gate.opened = nil
-	gate.changes++
-	gate.pause = 0
 }
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -58,22 +58,31 @@
 // stop sends the stop of a run until the worker confirms it, the run has ended or the link is closed.
 func (link *link) stop(run *run) {
 	for attempts := 1; !run.ended.Load(); attempts++ {
-		changes, err := link.stops.pass(link.ctx)
-		if err != nil || run.ended.Load() {
+		probe, err := link.stops.pass(link.ctx)
+		if err != nil {
+			return
+		}
+		if run.ended.Load() {
+			link.stops.recordNoOutcome(probe)
 			return
 		}
 		err = link.sendStop(run)
+		switch {
+		case err == nil:
+			link.stops.recordConfirmation()
+		case refusalOf(err) != "":
+			link.stops.recordRefusal(probe)
+		default:
+			link.stops.recordNoOutcome(probe)
+		}
 		if link.ctx.Err() != nil {
 			return
 		}
 		link.loop.post(func(loop *dispatcher) { loop.handleStopOutcome(run, link, attempts, err) })
-		switch refusal := refusalOf(err); {
-		case err == nil:
-			link.stops.recordConfirmation()
+		if err == nil {
 			return
-		case refusal != "":
-			link.stops.recordRefusal(changes)
-		default:
+		}
+		if refusalOf(err) == "" {
 			_ = lifecycle.Sleep(link.ctx, orderRetry)
 		}
 	}
