Grant the lease of a start before its run can be taken for expired

Found by the review: the goroutine that sends a start granted its lease. If a poll failed and no other lease was in force before it came to run, the run ended as expired, its task could start elsewhere, and the start went out all the same.

TestNoStartAfterItsRunHasEnded failed 72 of 100 times before, and passes 90 of 90. All attempts of a start have one deadline now, which is granted when the start is decided.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -267,7 +267,6 @@
 	attempts := 0
 	for attempts < maxStartAttempts && !run.ended.Load() {
 		attempts++
-		order.Deadline, order.Token = link.deadline(), link.token
 		ctx, cancel := context.WithTimeout(link.ctx, time.Duration(attempts)*startTimeout)
 		var clock WorkerClock
 		clock, err = link.loop.Workers.Start(ctx, link.entry, order)
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -269,6 +269,8 @@
 	}
 	placed.startSent, placed.startedAt = true, loop.clock()
 	link := placed.link
+	// The deadline is granted before the run can be taken for expired.
+	order.Deadline, order.Token = link.deadline(), link.token
 	loop.group.Go(func() error {
 		link.start(placed, order)
 		return nil
