End a run whose start can no longer be carried out

Found by the review: a task stayed placed, and its capacity and gang waited, for as long as its worker refused the stop of a start that had no answer, although the worker answered polls and did not list the run.

A worker refuses a start whose deadline has passed, so a listing that lacks the run and was made after that time proves that the run does not exist and will not.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -195,7 +195,7 @@
 			loop.endRun(run, progress.RunLost, "", "not started: worker restarted")
 			continue
 		}
-		run.link, run.listedAfter = worker.link, loop.clock()-1
+		run.link, run.listedAfter, run.startDeadline = worker.link, loop.clock()-1, 0
 		if run.stopping {
 			loop.sendStop(run)
 		}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -184,12 +184,20 @@
 		return
 	}
 	for id, run := range worker.runs {
-		if run.listedAfter != 0 && sent > run.listedAfter && !running[id] {
+		if !running[id] && run.mustBeListed(sent, listing.Clock) {
 			loop.endRun(run, progress.RunLost, "", "missing from the worker's listing")
 		}
 	}
 }
 
+// mustBeListed reports whether a listing that was requested at the given local time, and made at the given time of the
+// worker's clock, proves that the run does not exist if it lacks the run. It does so after the worker has confirmed the
+// start or the stop of the run. It also does so after the deadline of the start, because the worker refuses a start that
+// it receives later.
+func (run *run) mustBeListed(requested time.Duration, made WorkerClock) bool {
+	return run.listedAfter != 0 && requested > run.listedAfter || run.startDeadline != 0 && made > run.startDeadline
+}
+
 // endRun records that a run has certainly ended and frees its capacity. If the job has thereby failed, it stops the
 // other runs of the job. If the run was lost or its lease expired, it stops the other members of its gang.
 func (loop *dispatcher) endRun(run *run, outcome progress.RunOutcome, checkpoint, cause string) {
@@ -271,6 +279,7 @@
 	link := placed.link
 	// The deadline is granted before the run can be taken for expired.
 	order.Deadline, order.Token = link.deadline(), link.token
+	placed.startDeadline = order.Deadline
 	loop.group.Go(func() error {
 		link.start(placed, order)
 		return nil
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -109,6 +109,8 @@
 	crossRack bool
 	// awaitsReport is set if the start was held back until the next report of the worker.
 	awaitsReport bool
+	// startDeadline is the deadline of the start, from which on the worker refuses it; 0 if this term has not sent it.
+	startDeadline WorkerClock
 	// confirmedAt is the time at which the worker responded to the start; 0 if it did not.
 	confirmedAt time.Duration
 	// survived is set once a listing has shown that the run works for long enough to be above suspicion if its worker
