Stop the members of a cancelled gang that the record counts as done

Stops of the job went by the record's placed tasks, so that a member still at work got none, and its lease was extended.

A job knows its runs on workers now, whatever its record says; the plan test that read the former list reads this one.

--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -90,7 +90,7 @@
 	for id := range job.soundOn {
 		sound[id] = !job.failedOn[id]
 	}
-	for _, other := range loop.runsOf(job) {
+	for other := range job.runs {
 		if other != failed && other.startSent && !other.stopping && other.startedAt <= failed.startedAt {
 			id := job.record.Task(other.task).At.Worker
 			sound[id] = !job.failedOn[id]
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -52,7 +52,7 @@
 }
 
 func (loop *dispatcher) addJob(accepted workload.Job, revision keyvalue.Revision) {
-	added := &job{Job: accepted, policy: accepted.Policy, record: progress.New(accepted)}
+	added := &job{Job: accepted, policy: accepted.Policy, record: progress.New(accepted), runs: map[*run]bool{}}
 	added.status = ledger.StatusEntry{
 		Status: ledger.Status{
 			State: progress.Queued, Profile: accepted.Profile, Organisation: accepted.Organisation,
@@ -140,22 +140,7 @@
 
 // stopJob stops every run of a job.
 func (loop *dispatcher) stopJob(job *job) {
-	for _, run := range loop.runsOf(job) {
+	for run := range job.runs {
 		loop.stopRun(run, "job has ended")
 	}
 }
-
-// runsOf returns the placed runs of a job that have not ended.
-func (loop *dispatcher) runsOf(job *job) []*run {
-	var runs []*run
-	for id, task := range job.placed() {
-		worker := loop.workers[task.At.Worker]
-		if worker == nil {
-			continue
-		}
-		if run := worker.runs[id]; run != nil {
-			runs = append(runs, run)
-		}
-	}
-	return runs
-}
--- a/internal/control/plan_test.go
+++ b/internal/control/plan_test.go
@@ -231,7 +231,7 @@
 				time.Sleep(test.wait)
 				loop.now += test.wait
 				loop.plan()
-				for _, run := range loop.runsOf(gang) {
+				for run := range gang.runs {
 					if run.stopping != test.stops {
 						t.Errorf("member %d: stopping is %t, want %t", run.task.Index, run.stopping, test.stops)
 					}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -244,7 +244,7 @@
 	if !lost.step().Gang {
 		return
 	}
-	for _, run := range loop.runsOf(lost.job) {
+	for run := range lost.job.runs {
 		if run.task.StepID() == lost.task.StepID() {
 			loop.stopRun(run, "gang lost a member")
 		}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -26,6 +26,9 @@
 	removing bool
 	// onStored are called once the present version of the record is stored.
 	onStored []func()
+	// runs are the runs of the job that are placed on workers. They may include members of a gang whose tasks the record
+	// counts as done, because another member was done.
+	runs map[*run]bool
 	// failedOn are the workers on which runs of the job failed in this term.
 	failedOn map[fleet.WorkerID]bool
 	// soundOn are the workers on which runs of the job have survived or were done in this term.
@@ -183,6 +186,7 @@
 // add places a run on the worker.
 func (worker *worker) add(run *run) {
 	worker.runs[run.task] = run
+	run.job.runs[run] = true
 	worker.used = worker.used.Add(run.need)
 }
 
@@ -192,6 +196,7 @@
 		return false
 	}
 	delete(worker.runs, run.task)
+	delete(run.job.runs, run)
 	worker.used = worker.used.Sub(run.need)
 	return true
 }
