Stop a job that fails by a late end

Found by the review: the end of a run that had been given up can make its job fail, and nothing stopped the other runs of the job then.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -128,6 +128,10 @@
 	case job.record.EndAbandoned(job.Job, end.Task, end.Run, end.How, job.policy.MaxAttempts):
 		outcome = "counted late"
 		loop.deferAcknowledgement(worker, job, end.Number)
+		loop.planNeeded = true
+		if job.record.State == progress.Failed {
+			loop.stopJob(job)
+		}
 	case job.open() && job.record.Superseded(end.Task, end.Run) && lastExpiry < end.Number:
 		outcome = "withheld"
 		worker.withhold(end.Number)
