Make no further attempt to start a run that is to be stopped

Found by the review: up to two more attempts of a start followed after its job was cancelled. Where the stop was refused and such an attempt was not, a task of a cancelled job started.

The line "start not confirmed" tells the number of attempts now, since only the refusal of a first attempt proves that the run does not exist.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -261,11 +261,12 @@
 	orderRetry = 250 * time.Millisecond
 )
 
-// start sends the start of a run until the worker responds, the run has ended or maxStartAttempts is reached.
+// start sends the start of a run until the worker responds, the run has ended or is to be stopped, or maxStartAttempts is
+// reached.
 func (link *link) start(run *run, order StartOrder) {
 	var err error
 	attempts := 0
-	for attempts < maxStartAttempts && !run.ended.Load() {
+	for attempts < maxStartAttempts && !run.ended.Load() && !run.stopOrdered.Load() {
 		attempts++
 		ctx, cancel := context.WithTimeout(link.ctx, time.Duration(attempts)*startTimeout)
 		var clock WorkerClock
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -290,13 +290,17 @@
 	})
 }
 
-// handleStartOutcome handles the outcome of a start. A refusal proves that the run does not exist only if the first
+// handleStartOutcome handles the outcome of a start. Without an attempt the run does not exist. A refusal proves that the run does not exist only if the first
 // attempt was refused. Before the refusal of a later attempt, an attempt that timed out may have been carried out.
 func (loop *dispatcher) handleStartOutcome(placed *run, token Token, attempts int, err error) {
 	worker := loop.workers[placed.link.entry.ID]
 	if worker == nil || worker.runs[placed.task] != placed {
 		return
 	}
+	if attempts == 0 {
+		loop.endRun(placed, progress.RunLost, "", "not started")
+		return
+	}
 	if err == nil {
 		placed.listedAfter, placed.confirmedAt = loop.clock(), loop.clock()
 		worker.link.notify()
@@ -304,7 +308,7 @@
 	}
 	refusal := refusalOf(err)
 	loop.Logger.Warn("start not confirmed", "task", placed.task.String(), "run", int(placed.number),
-		"worker", string(worker.entry.ID), "error", err.Error())
+		"worker", string(worker.entry.ID), "attempts", attempts, "error", err.Error())
 	switch refusal {
 	case RefusedUnhealthy:
 		worker.health.Pause(loop.clock(), unhealthyPause)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -96,8 +96,9 @@
 	startedAt time.Duration
 	// startSent is set before the start is sent. While it is not set, the run cannot exist on a worker.
 	startSent bool
-	// ended is set once the run has certainly ended.
-	ended atomic.Bool
+	// ended is set once the run has certainly ended, and stopOrdered once it is to be stopped. They tell the goroutines
+	// that send its orders to give up.
+	ended, stopOrdered atomic.Bool
 	// stopping is set once the run is to be stopped. stopVia is the link that is sending the stop, or nil, and
 	// stopConfirmedAt the time at which the worker last confirmed it; 0 if it did not.
 	stopping        bool
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -14,6 +14,7 @@
 		return
 	}
 	run.stopping = true
+	run.stopOrdered.Store(true)
 	loop.Logger.Info("run to stop", "task", run.task.String(), "run", int(run.number), "cause", cause)
 	if run.startSent && run.link != nil {
 		loop.sendStop(run)
