Take a worker's clock back only by the response to a poll

Found by the review: a stop or start that a restarted worker answers under its former id carries its new clock, which begins at 0. The link took it for the clock of the former incarnation, so that the leases there seemed to last for its whole uptime longer. If the worker then fell silent, its tasks waited that long.

Responses other than to polls don't tell the incarnation, and only raise the clock now.

--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -76,8 +76,7 @@
 func (link *link) deadline() WorkerClock {
 	link.mu.Lock()
 	defer link.mu.Unlock()
-	elapsed := time.Duration(float64(link.loop.clock()-link.clockAt) * minClockRate)
-	until := link.clock + WorkerClock(elapsed+link.loop.LeaseDuration)
+	until := link.projectedClock(link.loop.clock()) + WorkerClock(link.loop.LeaseDuration)
 	link.grantedUntil = max(link.grantedUntil, until)
 	return until
 }
@@ -93,14 +92,14 @@
 	if link.grantedUntil == 0 {
 		return true
 	}
-	elapsed := time.Duration(float64(now-link.clockAt) * minClockRate)
-	return link.clock+WorkerClock(elapsed) > link.grantedUntil+WorkerClock(leaseExpirySlack)
+	return link.projectedClock(now) > link.grantedUntil+WorkerClock(leaseExpirySlack)
 }
 
 // leaseExpirySlack is the time after its deadline at which a lease counts as expired. It covers the granularity of the
 // worker's timers.
 const leaseExpirySlack = 300 * time.Millisecond
 
+// recordClock sets the lower bound of the worker's clock to the time in the response to a poll.
 func (link *link) recordClock(clock WorkerClock) {
 	link.mu.Lock()
 	defer link.mu.Unlock()
@@ -109,6 +108,21 @@
 	}
 }
 
+// raiseClock raises the lower bound of the worker's clock to the time in the response to another order. Such a response
+// does not tell the incarnation. A lower time may be that of a later one under the same id, whose clock started anew.
+func (link *link) raiseClock(clock WorkerClock) {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	if now := link.loop.clock(); clock > link.projectedClock(now) {
+		link.clock, link.clockAt = clock, now
+	}
+}
+
+// projectedClock returns the lower bound of the worker's clock at a local time. The caller holds mu.
+func (link *link) projectedClock(now time.Duration) WorkerClock {
+	return link.clock + WorkerClock(float64(now-link.clockAt)*minClockRate)
+}
+
 // update sets the fields of the link that determine when it polls and with which order, and wakes the link if the
 // change requires a poll.
 func (link *link) update(duty linkDuty, acknowledged int64) {
@@ -276,7 +290,7 @@
 			return
 		}
 		if err == nil {
-			link.recordClock(clock)
+			link.raiseClock(clock)
 		}
 		if err == nil || refusalOf(err) != "" {
 			break
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -96,7 +96,7 @@
 	clock, err := link.loop.Workers.Stop(ctx, link.entry, order)
 	metrics.Count(link.loop.Metrics, metrics.Name("stops", "outcome", orderOutcome(err)))
 	if err == nil {
-		link.recordClock(clock)
+		link.raiseClock(clock)
 	}
 	return err
 }
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -195,7 +195,7 @@
 	order := ThrottleOrder{Task: run.task, Run: run.number, Share: share, Token: link.token}
 	clock, err := link.loop.Workers.Throttle(ctx, link.entry, order)
 	if err == nil {
-		link.recordClock(clock)
+		link.raiseClock(clock)
 	} else {
 		_ = lifecycle.Sleep(link.ctx, orderRetry)
 	}
