--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -177,9 +177,7 @@
 					continue
 				}
 				ready := group{job: job, units: job.record.Units(job.Job, k, s), waitingSince: waitingSince}
-				ready.units = slices.DeleteFunc(ready.units, func(unit progress.Unit) bool {
-					return loop.anyUnexpected(ready.candidate(unit))
-				})
+				loop.dropUnexpected(&ready)
 				if len(ready.units) > 0 {
 					groups = append(groups, ready)
 				}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -104,6 +104,8 @@
 	stopping        bool
 	stopVia         *link
 	stopConfirmedAt time.Duration
+	// stopsWithoutEffect counts the confirmed stops after which the worker still listed the run.
+	stopsWithoutEffect int
 	// judgedDraining is set once the run was judged by evacuate since its worker began to drain.
 	judgedDraining bool
 	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -35,9 +35,13 @@
 		if requested < confirmed+stopTime {
 			return
 		}
-		loop.Logger.Warn("run still listed after its stop was confirmed; stopping it again", "task", run.task.String(),
-			"run", int(run.number), "worker", string(run.link.entry.ID), "confirmed_ms", (requested - confirmed).Milliseconds())
 		run.stopConfirmedAt = 0
+		run.stopsWithoutEffect++
+		if isPowerOfTwo(run.stopsWithoutEffect) {
+			loop.Logger.Warn("run still listed after its stop was confirmed; stopping it again", "task", run.task.String(),
+				"run", int(run.number), "worker", string(run.link.entry.ID), "stops", run.stopsWithoutEffect,
+				"confirmed_ms", (requested - confirmed).Milliseconds())
+		}
 	}
 	loop.sendStop(run)
 }
@@ -123,13 +127,16 @@
 	link.notify()
 }
 
+// isPowerOfTwo selects the repetitions of an event that are logged.
+func isPowerOfTwo(count int) bool { return count&(count-1) == 0 }
+
 // logStopOutcome logs a stop that was confirmed only after several attempts, and attempts without a confirmation: the
 // first, second, fourth and so on, which bounds the volume.
 func (loop *dispatcher) logStopOutcome(run *run, link *link, attempts int, err error) {
 	fields := []any{"task", run.task.String(), "run", int(run.number), "worker", string(link.entry.ID),
 		"attempts", attempts}
 	switch {
-	case err != nil && attempts&(attempts-1) == 0:
+	case err != nil && isPowerOfTwo(attempts):
 		loop.Logger.Warn("stop not confirmed", append(fields, "error", err.Error())...)
 	case err == nil && attempts > 1:
 		loop.Logger.Info("stop confirmed", fields...)
--- a/internal/control/unexpected.go
+++ b/internal/control/unexpected.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
@@ -66,17 +67,16 @@
 		"worker", string(worker.entry.ID))
 }
 
-// anyUnexpected reports whether a worker lists an unexpected run of a task of the unit.
-func (loop *dispatcher) anyUnexpected(candidate candidate) bool {
+// dropUnexpected removes the units from a group that have a task with an unexpected run.
+func (loop *dispatcher) dropUnexpected(group *group) {
 	if len(loop.unexpectedRuns) == 0 {
-		return false
-	}
-	id := candidate.key()
-	for _, index := range candidate.unit.Tasks {
-		id.Index = index
-		if loop.unexpectedRuns[id] > 0 {
-			return true
-		}
+		return
 	}
-	return false
+	group.units = slices.DeleteFunc(group.units, func(unit progress.Unit) bool {
+		id := group.candidate(unit).key()
+		return slices.ContainsFunc(unit.Tasks, func(index int) bool {
+			id.Index = index
+			return loop.unexpectedRuns[id] > 0
+		})
+	})
 }
