Log an invalid worker entry once, not at each report

Operators see a line of warning for each write of an invalid entry and one more at each full listing, which can fill the queue of log lines and hide others.

Cause: the controller kept nothing of the entries that it had refused.

InvalidItems remembers the error of each invalid item, so that there is a line when an entry becomes invalid, when its error changes, and when it is valid again.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,6 +101,8 @@
 	pendingRecords map[fleet.JobID]keyvalue.Item
 	// invalidRecords are the jobs whose records cannot be decoded or do not match the job.
 	invalidRecords map[fleet.JobID]bool
+	// invalidEntries are the entries under WorkerPrefix that name no worker to use.
+	invalidEntries *keyvalue.InvalidItems
 	workers        map[fleet.WorkerID]*worker
 	claims         map[workload.TaskID]*claim
 	advice         advice
@@ -127,6 +129,8 @@
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
 		claims: map[workload.TaskID]*claim{},
+		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
+			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -20,20 +20,22 @@
 		id := fleet.WorkerID(change.Key[len(loop.WorkerPrefix):])
 		listed[id] = true
 		if change.Deleted {
+			loop.invalidEntries.Remove(change.Key)
 			loop.markUnlisted(id)
 			continue
 		}
 		entry, err := loop.DecodeWorker(change.Item)
 		if err != nil {
-			loop.Logger.Warn("invalid worker entry; the worker counts as not listed", "key", change.Key,
-				"error", err.Error())
+			loop.invalidEntries.Reject(change.Key, err)
 			loop.markUnlisted(id)
 			continue
 		}
+		loop.invalidEntries.Accept(change.Key)
 		entry.Revision, entry.ReadAt = change.Revision, readAt
 		loop.observeWorker(entry)
 	}
 	if complete {
+		loop.invalidEntries.RemoveOthers(changes)
 		for id := range loop.workers {
 			if !listed[id] {
 				loop.markUnlisted(id)
