List again when the changes of a watch are too large

Callers wait: once the changes that a watch has missed exceed 16 MiB, such as twenty writes of an entry of 1 MB, the process never follows the list of workers again (or the jobs, or the configuration). No start is sent any more, because no report of a worker is read.

Cause: the response above the limit counted as an outage of the store, and the watch was repeated from the same revision, with at least as many changes.

Such a watch now fails like one whose revision was compacted.

--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -56,8 +56,8 @@
 var (
 	// ErrNotFound means that the key or lease does not exist.
 	ErrNotFound = errors.New("not found in the store")
-	// ErrCompacted means that the store no longer has the changes after the revision of a watch. The watcher has to
-	// list the items again.
+	// ErrCompacted means that the store no longer has the changes after the revision of a watch, or that they are too
+	// large for one response. The watcher has to list the items again.
 	ErrCompacted = errors.New("watch revision was compacted in the store")
 	// ErrRejected means that the store rejected the call, which had no effect.
 	ErrRejected = errors.New("the store rejected the call")
