Believe a worker that answers rather than an entry that contradicts it

Callers see tasks start over, and the same task run twice at a time, while the entry of a worker has another address or a later start for a moment; with both, the worker is not used again in this term.

Cause: an entry with another address or a later start replaced the link to the worker at once. At a wrong address nobody extends the leases, and where another worker answers there, its refusal was taken for proof that the runs had ended. After a start in the future, all sound entries of the worker counted as outdated.

Such an entry is now put off, and its worker is polled, also if it is idle. Until the worker has failed or its answer agrees with an entry, it counts as not listed: nothing starts there, and its runs go on. If only the address differs, the entry is not followed before the leases of the runs have ended. A new controller first asks where the former one placed the runs.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -104,8 +104,10 @@
 	// invalidEntries are the entries under WorkerPrefix that name no worker to use.
 	invalidEntries *keyvalue.InvalidItems
 	workers        map[fleet.WorkerID]*worker
-	claims         map[workload.TaskID]*claim
-	advice         advice
+	// contested are the latest entries of workers that contradict what is known of them; see contradicts.
+	contested map[fleet.WorkerID]WorkerEntry
+	claims    map[workload.TaskID]*claim
+	advice    advice
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// pendingCommits is the number of transactions without a known outcome.
@@ -128,7 +130,7 @@
 		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
-		claims: map[workload.TaskID]*claim{},
+		claims: map[workload.TaskID]*claim{}, contested: map[fleet.WorkerID]WorkerEntry{},
 		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
@@ -305,6 +307,7 @@
 func (loop *dispatcher) sweep() {
 	for _, worker := range loop.workers {
 		loop.dropAwaiting(worker)
+		loop.resolveContested(worker)
 		if len(worker.runs) > 0 && loop.leasesExpired(worker) {
 			loop.expireRuns(worker)
 		}
@@ -330,5 +333,6 @@
 func (loop *dispatcher) removeWorker(worker *worker) {
 	worker.link.cancel()
 	delete(loop.workers, worker.entry.ID)
+	delete(loop.contested, worker.entry.ID)
 	loop.Logger.Info("worker removed", "worker", string(worker.entry.ID))
 }
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -21,12 +21,14 @@
 		listed[id] = true
 		if change.Deleted {
 			loop.invalidEntries.Remove(change.Key)
+			delete(loop.contested, id)
 			loop.markUnlisted(id)
 			continue
 		}
 		entry, err := loop.DecodeWorker(change.Item)
 		if err != nil {
 			loop.invalidEntries.Reject(change.Key, err)
+			delete(loop.contested, id)
 			loop.markUnlisted(id)
 			continue
 		}
@@ -38,6 +40,7 @@
 		loop.invalidEntries.RemoveOthers(changes)
 		for id := range loop.workers {
 			if !listed[id] {
+				delete(loop.contested, id)
 				loop.markUnlisted(id)
 				loop.askForIncarnation(id)
 			}
@@ -68,19 +71,23 @@
 	}
 }
 
+// observeWorker follows a valid entry. An entry that contradicts what is known of the worker is put off; see contradicts.
 func (loop *dispatcher) observeWorker(entry WorkerEntry) {
 	known := loop.workers[entry.ID]
-	switch {
-	case known == nil:
+	if known == nil {
 		known = newWorker(entry)
 		loop.workers[entry.ID] = known
 		loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
-	case known.link == nil:
-		// Runs of a former controller were restored on this worker before its entry, which has the address, was read.
-		loop.connectRestored(known, entry)
-	case entry.Incarnation < known.entry.Incarnation:
+	}
+	if known.link == nil {
+		loop.connectWithoutEntry(known, entry)
+	}
+	if known.contradicts(entry) {
+		loop.contest(known, entry)
 		return
-	case entry.Incarnation > known.entry.Incarnation:
+	}
+	delete(loop.contested, entry.ID)
+	if !entry.sameInstance(known.link.entry) {
 		loop.beginIncarnation(known, entry)
 	}
 	startsDraining := entry.Draining && !known.entry.Draining
@@ -89,14 +96,71 @@
 	if startsDraining {
 		loop.evacuate(known)
 	}
-	if known.link != nil && known.entry.Address != known.link.entry.Address {
-		loop.beginIncarnation(known, entry)
-	}
 	if loop.capacityKnown(known) {
 		known.sendAwaiting()
 	}
 }
 
+// connectWithoutEntry connects a worker on which runs of a former controller were restored before its entry was read. The
+// runs are where the former controller placed them, whatever the entry says.
+func (loop *dispatcher) connectWithoutEntry(known *worker, entry WorkerEntry) {
+	if known.entry.Address != "" && !entry.sameInstance(known.entry) {
+		entry = known.entry
+		entry.ReadAt = time.Now()
+	}
+	loop.connectRestored(known, entry)
+}
+
+// sameInstance reports whether two entries name the same incarnation of a worker at the same address.
+func (entry WorkerEntry) sameInstance(other WorkerEntry) bool {
+	return entry.Incarnation == other.Incarnation && entry.Address == other.Address
+}
+
+// contradicts reports whether an entry names another incarnation or address although the known one is not known to have
+// failed. Such an entry may be wrong, and the runs of the worker would be lost with the link to it. If the incarnation is
+// the same, its runs are where they were, and only the end of their leases shows that they have ended.
+func (worker *worker) contradicts(entry WorkerEntry) bool {
+	known := worker.link.entry
+	switch {
+	case entry.sameInstance(known):
+		return false
+	case !worker.unresponsive:
+		return true
+	}
+	return entry.Incarnation == known.Incarnation && len(worker.runs) > 0
+}
+
+// contest puts off an entry that contradicts what is known of the worker, and has the worker polled. No task starts there
+// until the worker has failed, or it or an entry resolves the contradiction.
+func (loop *dispatcher) contest(known *worker, entry WorkerEntry) {
+	former, ok := loop.contested[entry.ID]
+	if !ok || !entry.sameInstance(former) {
+		loop.Logger.Info("worker entry contradicts the known instance; polling it", "worker", string(entry.ID),
+			"incarnation", int64(entry.Incarnation), "address", entry.Address,
+			"known", int64(known.link.entry.Incarnation), "known_address", known.link.entry.Address)
+	}
+	loop.contested[entry.ID] = entry
+	loop.markUnlisted(entry.ID)
+	known.link.check()
+}
+
+// resolveContested follows an entry that was put off, once it no longer contradicts what is known of the worker.
+func (loop *dispatcher) resolveContested(known *worker) {
+	if entry, ok := loop.contested[known.entry.ID]; ok && !known.contradicts(entry) {
+		loop.observeWorker(entry)
+	}
+}
+
+// check makes the link poll its worker even if the worker is idle.
+func (link *link) check() {
+	link.mu.Lock()
+	if !link.occupied {
+		link.unresponsive = true
+	}
+	link.mu.Unlock()
+	link.notify()
+}
+
 // drainSlack is how much longer than announced a draining worker is expected to stay.
 const drainSlack = time.Second
 
