Poll the workers of a former controller also if their entries are invalid

Callers see tasks start over when the controller changes while the entry of their worker is odd.

Cause: a new controller learns from the entry where to poll. It asks at the address of the former controller if there is no entry, but an invalid one counted as an entry, so that nobody extended the leases there.

Evidence: TestNewControllerWithOddEntry failed on the code before for the 11 of its 21 entries that are invalid.

An invalid entry is now like none, as it already was while a controller is in office.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -30,6 +30,7 @@
 			loop.invalidEntries.Reject(change.Key, err)
 			delete(loop.contested, id)
 			loop.markUnlisted(id)
+			loop.askForIncarnation(id)
 			continue
 		}
 		loop.invalidEntries.Accept(change.Key)
@@ -49,12 +50,12 @@
 	loop.planNeeded = true
 }
 
-// askForIncarnation polls a worker without an entry on which runs of a former controller were restored, at the address
+// askForIncarnation polls a worker without a valid entry on which runs of a former controller were restored, at the address
 // that it had then. If another incarnation responds there, the runs have certainly ended. Otherwise they end with the
 // longest lease that a former controller may have granted.
 func (loop *dispatcher) askForIncarnation(id fleet.WorkerID) {
 	known := loop.workers[id]
-	if known.link != nil || known.entry.Address == "" {
+	if known == nil || known.link != nil || known.entry.Address == "" {
 		return
 	}
 	entry := known.entry
