Keep the term when a worker returns that was removed

Callers wait while the term ends and another controller starts, whenever a worker returns that had restarted in this term, was then out of reach without a valid entry, and was removed.

Cause: the link to a restarted worker has a higher token than the first one. The link to a returning worker began with the first token again, the worker refused it, and the controller took that for the token of a later term.

Evidence: TestTermOutlastsReturnOfRemovedWorker failed on the code before; the term ended when the worker was listed again, without any other process.

The controller remembers the token of each worker that it removes and continues from there.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -106,8 +106,10 @@
 	workers        map[fleet.WorkerID]*worker
 	// contested are the latest entries of workers that contradict what is known of them; see contradicts.
 	contested map[fleet.WorkerID]WorkerEntry
-	claims    map[workload.TaskID]*claim
-	advice    advice
+	// removedTokens has the last token for each worker that was removed. The worker may come back.
+	removedTokens map[fleet.WorkerID]Token
+	claims        map[workload.TaskID]*claim
+	advice        advice
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// pendingCommits is the number of transactions without a known outcome.
@@ -131,6 +133,7 @@
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
 		claims: map[workload.TaskID]*claim{}, contested: map[fleet.WorkerID]WorkerEntry{},
+		removedTokens: map[fleet.WorkerID]Token{},
 		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
@@ -332,6 +335,7 @@
 
 func (loop *dispatcher) removeWorker(worker *worker) {
 	worker.link.cancel()
+	loop.removedTokens[worker.entry.ID] = worker.link.token
 	delete(loop.workers, worker.entry.ID)
 	delete(loop.contested, worker.entry.ID)
 	loop.Logger.Info("worker removed", "worker", string(worker.entry.ID))
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -78,7 +78,7 @@
 	if known == nil {
 		known = newWorker(entry)
 		loop.workers[entry.ID] = known
-		loop.connect(known, entry, Token(loop.term.Token)*tokenStep, loop.started+loop.FormerLeaseLimit)
+		loop.connect(known, entry, loop.firstToken(entry.ID), loop.started+loop.FormerLeaseLimit)
 	}
 	if known.link == nil {
 		loop.connectWithoutEntry(known, entry)
@@ -102,6 +102,12 @@
 	}
 }
 
+// firstToken returns the token of the first link to a worker, which is higher than those of links that were removed. With a
+// lower one the worker would refuse all orders, as if another process had taken the term.
+func (loop *dispatcher) firstToken(id fleet.WorkerID) Token {
+	return max(Token(loop.term.Token)*tokenStep, loop.removedTokens[id]+1)
+}
+
 // connectWithoutEntry connects a worker on which runs of a former controller were restored before its entry was read. The
 // runs are where the former controller placed them, whatever the entry says.
 func (loop *dispatcher) connectWithoutEntry(known *worker, entry WorkerEntry) {
