Refuse jobs with more tasks than a process can hold

Callers see the service end. One submission with repeat_count 1,000,000,000 is accepted, and then each process that becomes the controller allocates 24 GB for the record of the job and ends, one after the other.

Cause: only the tasks of one step were limited, not those of all steps and occurrences. The declared run times of the steps and the interval could also be so long that their sums overflow.

Check now limits a job to 65,536 tasks in all occurrences and to 100 years, both when it is submitted and when it is read.

--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -201,8 +201,45 @@
 			return errors.Wrapf(err, "steps[%d]", i)
 		}
 	}
-	if job.Schedule.Count < 0 || job.Schedule.Interval < 0 {
-		return errors.New("schedule: the number of occurrences or the interval is negative")
+	if err := job.Schedule.check(); err != nil {
+		return errors.Wrap(err, "schedule")
+	}
+	return job.checkSize()
+}
+
+const (
+	// maxJobTasks limits the tasks of all steps and occurrences of a job, which are all in its record.
+	maxJobTasks = 1 << 16
+	// maxJobTime limits the declared run times of all steps of a job together, and the time from the first to the last
+	// occurrence. Sums of such times with points in time stay within time.Duration.
+	maxJobTime = 100 * 365 * 24 * time.Hour
+)
+
+// checkSize returns an error if the steps together have too many tasks or too long run times.
+func (job Job) checkSize() error {
+	tasks, estimates := 0, time.Duration(0)
+	for _, step := range job.Steps {
+		tasks += step.Tasks
+		if tasks > maxJobTasks/job.Schedule.Occurrences() {
+			return errors.Errorf("steps: there are more than %d tasks in all occurrences", maxJobTasks)
+		}
+		if step.Estimate < -maxJobTime || step.Estimate > maxJobTime {
+			return errors.Errorf("estimate: %s is beyond %s", step.Estimate, maxJobTime)
+		}
+		estimates += step.Estimate.Abs()
+		if estimates > maxJobTime {
+			return errors.Errorf("estimate: the steps together take more than %s", maxJobTime)
+		}
+	}
+	return nil
+}
+
+func (schedule Schedule) check() error {
+	if schedule.Count < 0 || schedule.Interval < 0 {
+		return errors.New("the number of occurrences or the interval is negative")
+	}
+	if schedule.Interval > maxJobTime/time.Duration(schedule.Occurrences()) {
+		return errors.Errorf("the occurrences take more than %s", maxJobTime)
 	}
 	return nil
 }
