Refuse jobs whose first occurrence is in a year that JSON cannot have

Callers see the connection end without a response, and so do all other callers of that process: a submission with first_run_ms 1e15 ends the process.

Cause: the job is encoded for the store, and a time after the year 9999 cannot be, which was thought unreachable and panics. A submission runs in a goroutine of its own, where nothing recovers.

--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -213,6 +213,8 @@
 	// maxJobTime limits the declared run times of all steps of a job together, and the time from the first to the last
 	// occurrence. Sums of such times with points in time stay within time.Duration.
 	maxJobTime = 100 * 365 * 24 * time.Hour
+	// maxYear is the last year that a time in JSON can have.
+	maxYear = 9999
 )
 
 // checkSize returns an error if the steps together have too many tasks or too long run times.
@@ -241,6 +243,9 @@
 	if schedule.Interval > maxJobTime/time.Duration(schedule.Occurrences()) {
 		return errors.Errorf("the occurrences take more than %s", maxJobTime)
 	}
+	if year := schedule.First.Year(); year < 1 || year > maxYear {
+		return errors.Errorf("the first occurrence is in the year %d", year)
+	}
 	return nil
 }
 
