Ignore a job document under the key of another job

Callers see tasks start over, and terms end again and again, while a document under the prefix of the jobs names another job than its key does.

Cause: the job was added under the id in the document, where it replaced the job that has this id, with an empty record. Its next record conflicted with the stored one, which ends a term, and the next term read the same document.

The id in the document has to be the one in its key.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -21,10 +23,7 @@
 		if loop.jobs[id] != nil || loop.invalidRecords[id] {
 			continue
 		}
-		accepted, err := ledger.Decode[workload.Job](change.Item)
-		if err == nil {
-			err = accepted.Check()
-		}
+		accepted, err := decodeJob(id, change.Item)
 		if err != nil {
 			loop.Logger.Error("invalid job document ignored", "key", change.Key, "error", err.Error())
 			continue
@@ -34,6 +33,19 @@
 	loop.planNeeded = true
 }
 
+// decodeJob reads the document of a job, which is stored under its id. Under another key it would replace the job with that
+// id, whose tasks would start again.
+func decodeJob(id fleet.JobID, item keyvalue.Item) (workload.Job, error) {
+	accepted, err := ledger.Decode[workload.Job](item)
+	if err != nil {
+		return accepted, err
+	}
+	if accepted.ID != id {
+		return accepted, errors.Errorf("the document is that of job %.64q", accepted.ID)
+	}
+	return accepted, accepted.Check()
+}
+
 // removeJob drops a job whose documents were deleted from the store.
 func (loop *dispatcher) removeJob(id fleet.JobID) {
 	delete(loop.jobs, id)
