Log an invalid job document once, not at each listing

Operators see a line of error for each invalid job document whenever a controller starts or the prefix is listed again.

Cause: nothing was kept of the documents that were ignored before.

InvalidItems logs them like invalid worker entries. It also limits the error in a line to 500 bytes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,6 +101,8 @@
 	pendingRecords map[fleet.JobID]keyvalue.Item
 	// invalidRecords are the jobs whose records cannot be decoded or do not match the job.
 	invalidRecords map[fleet.JobID]bool
+	// invalidJobs are the documents under ledger.JobPrefix that are not those of jobs.
+	invalidJobs *keyvalue.InvalidItems
 	// invalidEntries are the entries under WorkerPrefix that name no worker to use.
 	invalidEntries *keyvalue.InvalidItems
 	workers        map[fleet.WorkerID]*worker
@@ -134,6 +136,8 @@
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
 		claims: map[workload.TaskID]*claim{}, contested: map[fleet.WorkerID]WorkerEntry{},
 		removedTokens: map[fleet.WorkerID]Token{},
+		invalidJobs: keyvalue.NewInvalidItems(controller.Logger, hclog.Error,
+			"invalid job document ignored", "job document is valid again"),
 		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -17,6 +17,7 @@
 	for _, change := range changes {
 		id := fleet.JobID(change.Key[len(ledger.JobPrefix):])
 		if change.Deleted {
+			loop.invalidJobs.Remove(change.Key)
 			loop.removeJob(id)
 			continue
 		}
@@ -25,9 +26,10 @@
 		}
 		accepted, err := decodeJob(id, change.Item)
 		if err != nil {
-			loop.Logger.Error("invalid job document ignored", "key", change.Key, "error", err.Error())
+			loop.invalidJobs.Reject(change.Key, err)
 			continue
 		}
+		loop.invalidJobs.Accept(change.Key)
 		loop.addJob(accepted, change.Revision)
 	}
 	loop.planNeeded = true
--- a/internal/keyvalue/invalid.go
+++ b/internal/keyvalue/invalid.go
@@ -20,9 +20,13 @@
 	return &InvalidItems{logger: logger, level: level, invalid: invalid, valid: valid, reasons: map[string]string{}}
 }
 
+// maxReasonBytes limits the error of an item in the log. The errors of decoders may contain parts of the item.
+const maxReasonBytes = 500
+
 // Reject takes note of an invalid item.
 func (items *InvalidItems) Reject(key string, err error) {
 	reason := err.Error()
+	reason = reason[:min(len(reason), maxReasonBytes)]
 	if known, ok := items.reasons[key]; ok && known == reason {
 		return
 	}
