Replace a status document that cannot be read instead of ending the term

Callers wait for as long as the status document of any open job cannot be read: about five terms end in each second, and no job gets further. A document without a known state keeps callers from the state of its job.

Cause: the controller ignored such a document and with it the revision, on which it makes the next write of the status conditional. The conflict counted as a document that another term wrote, which ends the term, and the next one found the same.

The revision of such a document is taken over, and the status is written again from the record. DecodeStatus refuses unknown states. While the document of a cancelled job cannot be read, a new controller does not know of the cancellation.

--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -168,9 +168,7 @@
 		loop.markDirty(job)
 		job.onStored = append(refused.onStored, job.onStored...)
 		if item, ok := conflict.Current(ledger.StatusKey(job.ID)); ok {
-			if status, err := ledger.Decode[ledger.Status](item); err == nil {
-				loop.adoptStatus(job, ledger.StatusEntry{Status: status, Revision: item.Revision})
-			}
+			loop.adoptStatus(job, loop.readStatus(item))
 		}
 		statusChanged = statusChanged || refused.status != nil && job.status.Revision != refused.statusRevision
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -103,6 +103,8 @@
 	invalidRecords map[fleet.JobID]bool
 	// invalidJobs are the documents under ledger.JobPrefix that are not those of jobs.
 	invalidJobs *keyvalue.InvalidItems
+	// invalidStatuses are the status documents that cannot be read.
+	invalidStatuses *keyvalue.InvalidItems
 	// invalidEntries are the entries under WorkerPrefix that name no worker to use.
 	invalidEntries *keyvalue.InvalidItems
 	workers        map[fleet.WorkerID]*worker
@@ -138,6 +140,8 @@
 		removedTokens: map[fleet.WorkerID]Token{},
 		invalidJobs: keyvalue.NewInvalidItems(controller.Logger, hclog.Error,
 			"invalid job document ignored", "job document is valid again"),
+		invalidStatuses: keyvalue.NewInvalidItems(controller.Logger, hclog.Error,
+			"invalid status document", "status document is valid again"),
 		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -66,8 +66,12 @@
 		Revision: revision,
 	}
 	if known, ok := loop.pendingStatuses[accepted.ID]; ok {
-		added.status = known
 		delete(loop.pendingStatuses, accepted.ID)
+		if known.State == unknownState {
+			loop.replaceStatus(added, known.Revision)
+		} else {
+			added.status = known
+		}
 	}
 	item, ok := loop.pendingRecords[accepted.ID]
 	delete(loop.pendingRecords, accepted.ID)
@@ -82,6 +86,7 @@
 	if err != nil || !record.Matches(accepted) {
 		// Without the record it is unknown which tasks have run, so no task of the job may start.
 		loop.invalidRecords[accepted.ID] = true
+		delete(loop.dirty, accepted.ID)
 		loop.Logger.Error("invalid record; no task of the job is started", "key", item.Key)
 		return
 	}
@@ -110,15 +115,14 @@
 func (loop *dispatcher) observeStatuses(changes []keyvalue.Change) {
 	for _, change := range changes {
 		id, ok := ledger.JobOfStatus(change.Key)
-		if !ok || change.Deleted {
+		if !ok {
 			continue
 		}
-		status, err := ledger.Decode[ledger.Status](change.Item)
-		if err != nil {
-			loop.Logger.Error("invalid status document ignored", "key", change.Key, "error", err.Error())
+		if change.Deleted {
+			loop.invalidStatuses.Remove(change.Key)
 			continue
 		}
-		entry := ledger.StatusEntry{Status: status, Revision: change.Revision}
+		entry := loop.readStatus(change.Item)
 		job := loop.jobs[id]
 		if job == nil {
 			loop.pendingStatuses[id] = entry
@@ -128,10 +132,39 @@
 	}
 }
 
+// readStatus returns the status in an item, or one with unknownState.
+func (loop *dispatcher) readStatus(item keyvalue.Item) ledger.StatusEntry {
+	status, err := ledger.DecodeStatus(item)
+	if err != nil {
+		loop.invalidStatuses.Reject(item.Key, err)
+		status = ledger.Status{State: unknownState}
+	} else {
+		loop.invalidStatuses.Accept(item.Key)
+	}
+	return ledger.StatusEntry{Status: status, Revision: item.Revision}
+}
+
+// unknownState is the state in a status document that cannot be read.
+const unknownState progress.State = ""
+
+// replaceStatus has the status of a job written again, because the document in the store cannot be read. Its revision is
+// needed for that: with another one, each write would conflict and end the term.
+func (loop *dispatcher) replaceStatus(job *job, revision keyvalue.Revision) {
+	job.status.Revision = revision
+	if !job.status.State.Terminal() {
+		job.status.State = unknownState
+		loop.markDirty(job)
+	}
+}
+
 func (loop *dispatcher) adoptStatus(job *job, entry ledger.StatusEntry) {
 	if entry.Revision <= job.status.Revision {
 		return
 	}
+	if entry.State == unknownState {
+		loop.replaceStatus(job, entry.Revision)
+		return
+	}
 	job.status = entry
 	if entry.State == progress.Cancelled {
 		loop.Logger.Info("job cancelled", "job", string(job.ID), "status_revision", int64(entry.Revision))
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -61,6 +61,18 @@
 	Ended time.Time `json:"ended,omitzero"`
 }
 
+// DecodeStatus reads a stored status. It returns an error for a document that has no state of a job.
+func DecodeStatus(item keyvalue.Item) (Status, error) {
+	status, err := Decode[Status](item)
+	if err != nil {
+		return Status{}, err
+	}
+	if !status.State.Valid() {
+		return Status{}, errors.Errorf("%s: unknown state %.40q", item.Key, status.State)
+	}
+	return status, nil
+}
+
 // Encode returns the stored form of a document.
 func Encode(document any) []byte {
 	encoded, err := json.Marshal(document)
--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -30,6 +30,11 @@
 	return state == Completed || state == Failed || state == Cancelled
 }
 
+// Valid reports whether the state is one of a job.
+func (state State) Valid() bool {
+	return state == Queued || state == Running || state.Terminal()
+}
+
 // Phase shows whether a task waits to be placed on a worker, is placed, or is done.
 type Phase string
 
