Log an unreadable status once, not at each listing

Operators see a line of error in each process for each unreadable status whenever the prefix is listed again, and callers no state of the job where the document has an unknown one.

Cause: the cache of statuses kept nothing of the documents that it had refused, and accepted any state.

Evidence: TestUnreadableStatus failed on the code before: ten lines for ten listings of one document, and three documents without a known state were cached.

The cache now logs through InvalidItems and reads documents with DecodeStatus.

--- a/internal/ledger/statuscache.go
+++ b/internal/ledger/statuscache.go
@@ -12,9 +12,8 @@
 
 // StatusCache holds a copy of the stored status of every job. It is safe for concurrent use.
 type StatusCache struct {
-	logger hclog.Logger
-
 	mu      sync.Mutex
+	invalid *keyvalue.InvalidItems
 	entries map[fleet.JobID]StatusEntry
 	// pending is the number of queued jobs without a schedule, by profile.
 	pending map[fleet.ProfileName]int
@@ -29,7 +28,8 @@
 // NewStatusCache returns an empty cache.
 func NewStatusCache(logger hclog.Logger) *StatusCache {
 	return &StatusCache{
-		logger: logger, entries: map[fleet.JobID]StatusEntry{}, pending: map[fleet.ProfileName]int{},
+		invalid: keyvalue.NewInvalidItems(logger, hclog.Error, "unreadable status", "status document is valid again"),
+		entries: map[fleet.JobID]StatusEntry{}, pending: map[fleet.ProfileName]int{},
 	}
 }
 
@@ -46,19 +46,22 @@
 		}
 		listed[id] = true
 		if change.Deleted {
+			cache.invalid.Remove(change.Key)
 			cache.remove(id, change.Revision)
 			continue
 		}
-		status, err := Decode[Status](change.Item)
+		status, err := DecodeStatus(change.Item)
 		if err != nil {
-			cache.logger.Error("unreadable status", "key", change.Key, "error", err.Error())
+			cache.invalid.Reject(change.Key, err)
 			continue
 		}
+		cache.invalid.Accept(change.Key)
 		cache.put(id, StatusEntry{Status: status, Revision: change.Revision})
 	}
 	if !full {
 		return
 	}
+	cache.invalid.RemoveOthers(changes)
 	for id, entry := range cache.entries {
 		if !listed[id] {
 			cache.remove(id, entry.Revision)
--- a/internal/ledger/statuscache_test.go
+++ b/internal/ledger/statuscache_test.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -53,3 +55,23 @@
 		}
 	})
 }
+
+// TestUnreadableStatus guards against a log line at each listing of an unreadable status, and against an unknown state.
+func TestUnreadableStatus(t *testing.T) {
+	var output bytes.Buffer
+	cache := NewStatusCache(hclog.New(&hclog.LoggerOptions{Output: &output}))
+	for _, value := range []string{"\x00", "null", "[]", "{}", `{"state":"odd"}`, `{"state":7}`} {
+		output.Reset()
+		item := keyvalue.Item{Key: StatusKey("a"), Value: []byte(value), Revision: 3}
+		for range 10 {
+			cache.Apply([]keyvalue.Change{{Item: item}}, true)
+		}
+		if entry, ok := cache.Get("a"); ok {
+			t.Errorf("%q: cached as %+v, want nothing", value, entry)
+		}
+		if lines := strings.Count(output.String(), "\n"); lines != 1 {
+			t.Errorf("%q: %d lines, want one", value, lines)
+		}
+		cache.Apply(nil, true)
+	}
+}
