Refuse member records that no process can have written

Callers wait while the term ends every 6 s or so: a member record with processor 1e300 and without a lease makes each process leave the term to a larger process that does not exist. Each unreadable record cost a line of error at each listing.

Cause: a record was used whatever its name, size and address.

The name has to be that of the key, the processor cores above 0 and at most 65,536, and the address a host with a port. A record that becomes invalid is no longer listed, and is logged through InvalidItems. A record with a size that is false but possible still has this effect.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,6 +29,27 @@
 	ProcessorCores float64 `json:"processor"`
 }
 
+// maxProcessorCores limits the processor cores of a member.
+const maxProcessorCores = 1 << 16
+
+// check returns an error unless the record is one that the process with a name can have written.
+func (member Member) check(name string) error {
+	if member.Name != name {
+		return errors.Errorf("the record is that of member %.64q", member.Name)
+	}
+	if !(member.ProcessorCores > 0 && member.ProcessorCores <= maxProcessorCores) {
+		return errors.Errorf("processor: %v is not above 0 and at most %d", member.ProcessorCores, maxProcessorCores)
+	}
+	if member.Address == "" {
+		return nil
+	}
+	host, port, err := net.SplitHostPort(member.Address)
+	if _, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || strings.ContainsAny(host, " /?#@") {
+		return errors.Errorf("address: %.60q is not a host with a port", member.Address)
+	}
+	return nil
+}
+
 // Roster registers this process in the store and lists all registered processes. Its exported fields are set before
 // Run.
 type Roster struct {
@@ -40,6 +63,8 @@
 
 	mu      sync.Mutex
 	members map[string]entry
+	// invalid are the member records that cannot be used; nil before the first changes are applied.
+	invalid *keyvalue.InvalidItems
 }
 
 // entry is a member with the local time at which it was first listed.
@@ -118,6 +143,13 @@
 func (roster *Roster) Apply(changes []keyvalue.Change, full bool) {
 	roster.mu.Lock()
 	defer roster.mu.Unlock()
+	if roster.invalid == nil {
+		roster.invalid = keyvalue.NewInvalidItems(
+			roster.Logger, hclog.Error, "unreadable member record", "member record is valid again")
+	}
+	if full {
+		roster.invalid.RemoveOthers(changes)
+	}
 	previous := roster.members
 	if roster.members == nil || full {
 		roster.members = map[string]entry{}
@@ -128,14 +160,20 @@
 			continue
 		}
 		if change.Deleted {
+			roster.invalid.Remove(change.Key)
 			delete(roster.members, name)
 			continue
 		}
 		member, err := ledger.Decode[Member](change.Item)
+		if err == nil {
+			err = member.check(name)
+		}
 		if err != nil {
-			roster.Logger.Error("unreadable member record", "key", change.Key, "error", err.Error())
+			delete(roster.members, name)
+			roster.invalid.Reject(change.Key, err)
 			continue
 		}
+		roster.invalid.Accept(change.Key)
 		firstListed := roster.Clock()
 		if known, ok := previous[name]; ok {
 			firstListed = known.firstListed
