Refuse job records with tasks that no controller can have written

Callers wait for ever for a job whose record has a task in an unknown phase, and no log line tells why.

Cause: a record was compared with its job only in the numbers of its steps and tasks.

Matches checks the state of the record, and phase, run number and failures of each task. Otherwise the record is invalid as before: a line is logged and no task of the job starts, because it is unknown which have run.

--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -3,6 +3,8 @@
 package progress
 
 import (
+	"slices"
+
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
@@ -143,9 +145,10 @@
 	return record
 }
 
-// Matches reports whether the record has the same numbers of occurrences, steps and tasks as the job.
+// Matches reports whether the record is one of the job: it has the same numbers of occurrences, steps and tasks, a known
+// state, and tasks that this package can have written.
 func (record *Record) Matches(job workload.Job) bool {
-	if len(record.Occurrences) != job.Schedule.Occurrences() {
+	if len(record.Occurrences) != job.Schedule.Occurrences() || !record.State.Valid() {
 		return false
 	}
 	for _, occurrence := range record.Occurrences {
@@ -153,7 +156,8 @@
 			return false
 		}
 		for i := range occurrence.Steps {
-			if len(occurrence.Steps[i].Tasks) != job.Steps[i].Tasks {
+			tasks := occurrence.Steps[i].Tasks
+			if len(tasks) != job.Steps[i].Tasks || slices.ContainsFunc(tasks, Task.invalid) {
 				return false
 			}
 		}
@@ -161,6 +165,23 @@
 	return true
 }
 
+// maxRunNumber limits the number of runs of a task, far above what a job can reach.
+const maxRunNumber = 1 << 31
+
+// invalid reports whether this package cannot have written the task.
+func (task Task) invalid() bool {
+	if task.Run < 0 || task.Run > maxRunNumber || task.Failures < 0 {
+		return true
+	}
+	switch task.Phase {
+	case Waiting, Done:
+		return false
+	case Placed:
+		return task.Run == 0
+	}
+	return true
+}
+
 // Task returns the progress of a task, or nil if the record has no such task.
 func (record *Record) Task(id workload.TaskID) *Task {
 	if id.Occurrence >= len(record.Occurrences) {
