--- /dev/null
+++ b/pkg/workload/workload_test.go
@@ -0,0 +1,50 @@
+package workload
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// TestCheckOfOddJobs guards against sums over tasks, jobs and times that overflow.
+func TestCheckOfOddJobs(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*Job)
+		valid  bool
+	}{
+		{"sound", func(*Job) {}, true},
+		{"no need", func(job *Job) { job.Steps[0].Each = Resources{} }, true},
+		{"large need", func(job *Job) { job.Steps[0].Each.Millicores = 1 << 30 }, true},
+		{"9e18 accelerators", func(job *Job) { job.Steps[0].Each.Accelerators = 9e18 }, false},
+		{"9e18 millicores", func(job *Job) { job.Steps[0].Each.Millicores = 9e18 }, false},
+		{"9e18 MiB", func(job *Job) { job.Steps[0].Each.MemoryMiB = 9e18 }, false},
+		{"negative accelerators", func(job *Job) { job.Steps[0].Each.Accelerators = -1 }, false},
+		{"4096 tasks", func(job *Job) { job.Steps[0].Tasks = 4096 }, true},
+		{"4097 tasks", func(job *Job) { job.Steps[0].Tasks = 4097 }, false},
+		{"many occurrences", func(job *Job) { job.Schedule.Count = 1 << 15 }, true},
+		{"too many occurrences", func(job *Job) { job.Schedule.Count = 1<<15 + 1 }, false},
+		{"most occurrences", func(job *Job) { job.Schedule.Count = math.MaxInt }, false},
+		{"long interval", func(job *Job) { job.Schedule = Schedule{Count: 10, Interval: 365 * 24 * time.Hour} }, true},
+		{"longest interval", func(job *Job) { job.Schedule = Schedule{Count: 2, Interval: math.MaxInt64} }, false},
+		{"late", func(job *Job) { job.Schedule.First = time.Date(10000, 1, 1, 0, 0, 0, 0, time.UTC) }, false},
+		{"early", func(job *Job) { job.Schedule.First = time.Date(-1, 1, 1, 0, 0, 0, 0, time.UTC) }, false},
+		{"longest estimate", func(job *Job) { job.Steps[0].Estimate = math.MaxInt64 }, false},
+		{"lowest estimate", func(job *Job) { job.Steps[0].Estimate = math.MinInt64 }, false},
+		{"long estimates", func(job *Job) {
+			job.Steps[0].Estimate = 60 * 365 * 24 * time.Hour
+			job.Steps = append(job.Steps, job.Steps[0])
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			job := Job{Steps: []Step{{
+				Tasks: 2, Each: Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 1}, Estimate: time.Minute,
+			}}}
+			test.change(&job)
+			if err := job.Check(); (err == nil) != test.valid {
+				t.Errorf("got %v, want valid %t", err, test.valid)
+			}
+		})
+	}
+}
