Compute the target completion time without overflow

Callers see jobs ranked as far too late whose stretch times the declared run time is beyond what a time.Duration holds.

Cause: the product was converted to an integer whatever its size, with a result that depends on the processor, and the offset was added to that.

Evidence: on arm64 the expression before gives a target of -2562047h47m15.854775809s for a stretch of 1e300 and an offset of 1 s. Its replacement has a test of its own, TestObjective, and had none before.

JobPolicy.Objective limits the result to 50 years either way, so that the factor for late jobs does not overflow either.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -45,7 +45,7 @@
 func (candidate candidate) lateness(now time.Time) lateness {
 	job := candidate.job
 	remaining := job.remainingCriticalPath(candidate.unit.Occurrence, candidate.unit.Step)
-	objective := time.Duration(job.policy.Stretch*float64(job.CriticalPath())) + job.policy.CompletionOffset
+	objective := job.policy.Objective(job.CriticalPath())
 	completion := now.Add(remaining).Sub(candidate.waitingSince)
 	switch {
 	case completion <= objective:
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -61,7 +61,7 @@
 // deadline returns the time by which the job should be completed under its policy, computed from the declared run
 // times.
 func (job *job) deadline() time.Time {
-	return job.Accepted.Add(time.Duration(job.policy.Stretch*float64(job.CriticalPath())) + job.policy.CompletionOffset)
+	return job.Accepted.Add(job.policy.Objective(job.CriticalPath()))
 }
 
 // remainingCriticalPath returns the declared run time of the critical path through the steps that are not done, from
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -2,6 +2,7 @@
 package workload
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -152,6 +153,20 @@
 	Advice           Advice        `json:"advice,omitzero"`
 }
 
+// maxObjective limits the completion time that callers aim for. Small multiples of it stay within time.Duration.
+const maxObjective = 50 * 365 * 24 * time.Hour
+
+// Objective returns the completion time that callers aim for, counted from acceptance, for a job with a critical path.
+func (policy JobPolicy) Objective(criticalPath time.Duration) time.Duration {
+	const limit = float64(maxObjective)
+	// The conversion of the product keeps processors from computing the sum with another rounding.
+	objective := float64(policy.Stretch*float64(criticalPath)) + float64(policy.CompletionOffset)
+	if math.IsNaN(objective) {
+		return 0
+	}
+	return time.Duration(min(max(objective, -limit), limit))
+}
+
 // Advice describes the adviser that selects the workers that may run the steps of a profile. The zero value means that
 // the profile has no adviser.
 type Advice struct {
--- a/pkg/workload/workload_test.go
+++ b/pkg/workload/workload_test.go
@@ -48,3 +48,30 @@
 		})
 	}
 }
+
+// TestObjective guards against a target completion time that overflows, or that depends on the processor.
+func TestObjective(t *testing.T) {
+	const year = 365 * 24 * time.Hour
+	tests := []struct {
+		name         string
+		policy       JobPolicy
+		criticalPath time.Duration
+		want         time.Duration
+	}{
+		{"sound", JobPolicy{Stretch: 3, CompletionOffset: time.Second}, time.Minute, 181 * time.Second},
+		{"no policy", JobPolicy{}, time.Minute, 0},
+		{"large stretch", JobPolicy{Stretch: 1e300}, time.Minute, maxObjective},
+		{"large negative stretch", JobPolicy{Stretch: -1e300}, time.Minute, -maxObjective},
+		{"long path", JobPolicy{Stretch: 1e6}, 100 * year, maxObjective},
+		{"long offset", JobPolicy{Stretch: 1, CompletionOffset: math.MaxInt64}, time.Minute, maxObjective},
+		{"long path and offset", JobPolicy{Stretch: 1e300, CompletionOffset: math.MaxInt64}, time.Minute, maxObjective},
+		{"infinite stretch of nothing", JobPolicy{Stretch: math.Inf(1)}, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := test.policy.Objective(test.criticalPath); got != test.want {
+				t.Errorf("got %s, want %s", got, test.want)
+			}
+		})
+	}
+}
