Pause between polls of a worker that names another incarnation each time

Operators see a processor in use and a log line for each poll: a worker whose responses name another start each time, such as the present time, is polled again at once, without end.

Cause: another incarnation replaces the link, and the new link polls without a pause.

A link is replaced in this way at most once a second. Meanwhile the worker gets no new tasks.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -110,6 +110,10 @@
 	workers        map[fleet.WorkerID]*worker
 	// contested are the latest entries of workers that contradict what is known of them; see contradicts.
 	contested map[fleet.WorkerID]WorkerEntry
+	// restartedAt has the time at which each worker last named another incarnation, and restarts those replacements of links
+	// that wait because of it.
+	restartedAt map[fleet.WorkerID]time.Duration
+	restarts    map[fleet.WorkerID]restart
 	// removedTokens has the last token for each worker that was removed. The worker may come back.
 	removedTokens map[fleet.WorkerID]Token
 	claims        map[workload.TaskID]*claim
@@ -137,6 +141,7 @@
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
 		claims: map[workload.TaskID]*claim{}, contested: map[fleet.WorkerID]WorkerEntry{},
+		restartedAt: map[fleet.WorkerID]time.Duration{}, restarts: map[fleet.WorkerID]restart{},
 		removedTokens: map[fleet.WorkerID]Token{},
 		invalidJobs: keyvalue.NewInvalidItems(controller.Logger, hclog.Error,
 			"invalid job document ignored", "job document is valid again"),
@@ -318,6 +323,7 @@
 func (loop *dispatcher) sweep() {
 	for _, worker := range loop.workers {
 		loop.dropAwaiting(worker)
+		loop.restartIfDue(worker)
 		loop.resolveContested(worker)
 		if len(worker.runs) > 0 && loop.leasesExpired(worker) {
 			loop.expireRuns(worker)
@@ -346,5 +352,7 @@
 	loop.removedTokens[worker.entry.ID] = worker.link.token
 	delete(loop.workers, worker.entry.ID)
 	delete(loop.contested, worker.entry.ID)
+	delete(loop.restartedAt, worker.entry.ID)
+	delete(loop.restarts, worker.entry.ID)
 	loop.Logger.Info("worker removed", "worker", string(worker.entry.ID))
 }
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -89,7 +89,7 @@
 	}
 	delete(loop.contested, entry.ID)
 	if !entry.sameInstance(known.link.entry) {
-		loop.beginIncarnation(known, entry)
+		loop.replaceLink(known, entry)
 	}
 	startsDraining := entry.Draining && !known.entry.Draining
 	known.entry, known.listed = entry, true
@@ -205,11 +205,45 @@
 	worker.updateLink()
 }
 
-// beginIncarnation replaces the link to a worker that has restarted or whose address has changed. The new link has a
+// minRestartInterval is the shortest time between two replacements of a worker's link because the worker names another
+// incarnation. It prevents a busy loop of polls to a worker that names another one each time.
+const minRestartInterval = time.Second
+
+// restart is the replacement of a worker's link that waits for minRestartInterval.
+type restart struct {
+	link  *link
+	entry WorkerEntry
+}
+
+// beginIncarnation replaces the link to a worker that names another incarnation, or has it replaced later if it was
+// replaced just now. Until then the worker is not polled and gets no new tasks.
+func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
+	if last, ok := loop.restartedAt[entry.ID]; ok && loop.clock()-last < minRestartInterval {
+		loop.restarts[entry.ID] = restart{link: worker.link, entry: entry}
+		worker.settled = false
+		return
+	}
+	loop.restartedAt[entry.ID] = loop.clock()
+	loop.replaceLink(worker, entry)
+}
+
+// restartIfDue replaces the link of a worker if that was put off.
+func (loop *dispatcher) restartIfDue(worker *worker) {
+	delayed, ok := loop.restarts[worker.entry.ID]
+	if !ok || loop.clock()-loop.restartedAt[worker.entry.ID] < minRestartInterval {
+		return
+	}
+	delete(loop.restarts, worker.entry.ID)
+	if worker.link == delayed.link {
+		loop.beginIncarnation(worker, delayed.entry)
+	}
+}
+
+// replaceLink replaces the link to a worker that has restarted or whose address has changed. The new link has a
 // higher token, so that the worker refuses delayed orders of the old link. A start that the old link sent may still
 // have reached the new incarnation. Therefore only the first listing under the new token shows which runs are lost, and
 // stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
-func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
+func (loop *dispatcher) replaceLink(worker *worker, entry WorkerEntry) {
 	token := worker.link.token + 1
 	if entry.Incarnation > worker.entry.Incarnation {
 		worker.markFailing(loop.clock(), false)
