Grant leases by the clock of a response, not by that of an entry

Callers wait for ever for a job whose worker is lost after a controller has read an entry of it with a clock that is ahead.

Cause: a new controller extends the leases of restored runs with its first poll, by the clock in the entry. It remembers the latest deadline that it has granted, and with the true clock of later responses that deadline never passes.

A link begins with the clock 0, at which every worker starts, so that the first poll extends no lease. Its response tells the time.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -201,6 +201,9 @@
 	worker.entry = entry
 	worker.settled, worker.unresponsive = false, false
 	worker.lastEnd, worker.unstoredEnds = 0, map[int64]bool{}
+	// The clock in an entry may be ahead, and a lease that was granted by it would never count as expired. The first
+	// response tells the time before anything depends on it.
+	entry.Clock = 0
 	worker.link = newLink(loop.ctx, loop, entry, token, formerLeasesUntil)
 	worker.updateLink()
 }
