--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -102,7 +102,19 @@
 	pendingRecords map[fleet.JobID]keyvalue.Item
 	// invalidRecords are the jobs whose records cannot be decoded or do not match the job.
 	invalidRecords map[fleet.JobID]bool
+	// invalidJobs are the documents under ledger.JobPrefix that are not those of jobs.
+	invalidJobs *keyvalue.InvalidItems
+	// invalidStatuses are the status documents that cannot be read.
+	invalidStatuses *keyvalue.InvalidItems
+	// invalidEntries are the entries under WorkerPrefix that name no worker to use.
+	invalidEntries *keyvalue.InvalidItems
 	workers        map[fleet.WorkerID]*worker
+	// contested are the latest entries of workers that contradict what is known of them; see contradicts.
+	contested map[fleet.WorkerID]WorkerEntry
+	// restartedAt has the time at which each worker last named another incarnation, and restarts those replacements of links
+	// that wait because of it.
+	restartedAt map[fleet.WorkerID]time.Duration
+	restarts    map[fleet.WorkerID]restart
 	// formerTokens has the last tokens of the workers that were removed in this term.
 	formerTokens map[fleet.WorkerID]Token
 	claims       map[workload.TaskID]*claim
@@ -131,9 +143,16 @@
 		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
-		formerTokens: map[fleet.WorkerID]Token{}, claims: map[workload.TaskID]*claim{},
-		unexpectedRuns: map[workload.TaskID]int{},
-		advice:         advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
+		claims: map[workload.TaskID]*claim{}, contested: map[fleet.WorkerID]WorkerEntry{},
+		restartedAt: map[fleet.WorkerID]time.Duration{}, restarts: map[fleet.WorkerID]restart{},
+		formerTokens: map[fleet.WorkerID]Token{}, unexpectedRuns: map[workload.TaskID]int{},
+		invalidJobs: keyvalue.NewInvalidItems(controller.Logger, hclog.Error,
+			"invalid job document ignored", "job document is valid again"),
+		invalidStatuses: keyvalue.NewInvalidItems(controller.Logger, hclog.Error,
+			"invalid status document", "status document is valid again"),
+		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
+			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
+		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
 
@@ -307,6 +326,8 @@
 func (loop *dispatcher) sweep() {
 	for _, worker := range loop.workers {
 		loop.dropAwaiting(worker)
+		loop.restartIfDue(worker)
+		loop.resolveContested(worker)
 		if worker.occupied() && loop.leasesExpired(worker) {
 			loop.expireRuns(worker)
 		}
@@ -333,5 +354,8 @@
 	worker.link.cancel()
 	loop.formerTokens[worker.entry.ID] = worker.link.token
 	delete(loop.workers, worker.entry.ID)
+	delete(loop.contested, worker.entry.ID)
+	delete(loop.restartedAt, worker.entry.ID)
+	delete(loop.restarts, worker.entry.ID)
 	loop.Logger.Info("worker removed", "worker", string(worker.entry.ID))
 }
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -20,22 +20,28 @@
 		id := fleet.WorkerID(change.Key[len(loop.WorkerPrefix):])
 		listed[id] = true
 		if change.Deleted {
+			loop.invalidEntries.Remove(change.Key)
+			delete(loop.contested, id)
 			loop.markUnlisted(id)
 			continue
 		}
 		entry, err := loop.DecodeWorker(change.Item)
 		if err != nil {
-			loop.Logger.Warn("invalid worker entry; the worker counts as not listed", "key", change.Key,
-				"error", err.Error())
+			loop.invalidEntries.Reject(change.Key, err)
+			delete(loop.contested, id)
 			loop.markUnlisted(id)
+			loop.askForIncarnation(id)
 			continue
 		}
+		loop.invalidEntries.Accept(change.Key)
 		entry.Revision, entry.ReadAt = change.Revision, readAt
 		loop.observeWorker(entry)
 	}
 	if complete {
+		loop.invalidEntries.RemoveOthers(changes)
 		for id := range loop.workers {
 			if !listed[id] {
+				delete(loop.contested, id)
 				loop.markUnlisted(id)
 				loop.askForIncarnation(id)
 			}
@@ -44,12 +50,12 @@
 	loop.planNeeded = true
 }
 
-// askForIncarnation polls a worker without an entry on which runs of a former controller were restored, at the address
+// askForIncarnation polls a worker without a valid entry on which runs of a former controller were restored, at the address
 // that it had then. If another incarnation responds there, the runs have certainly ended. Otherwise they end with the
 // longest lease that a former controller may have granted.
 func (loop *dispatcher) askForIncarnation(id fleet.WorkerID) {
 	known := loop.workers[id]
-	if known.link != nil || known.entry.Address == "" {
+	if known == nil || known.link != nil || known.entry.Address == "" {
 		return
 	}
 	entry := known.entry
@@ -66,21 +72,25 @@
 	}
 }
 
+// observeWorker follows a valid entry. An entry that contradicts what is known of the worker is put off; see contradicts.
 func (loop *dispatcher) observeWorker(entry WorkerEntry) {
 	known := loop.workers[entry.ID]
 	wasDraining := known != nil && known.entry.Draining
-	switch {
-	case known == nil:
+	if known == nil {
 		known = newWorker(entry)
 		loop.workers[entry.ID] = known
 		loop.connect(known, entry, loop.firstToken(entry.ID), loop.started+loop.FormerLeaseLimit)
-	case known.link == nil:
-		// Runs of a former controller were restored on this worker before its entry, which has the address, was read.
-		loop.connectRestored(known, entry)
-	case entry.Incarnation < known.entry.Incarnation:
+	}
+	if known.link == nil {
+		loop.connectWithoutEntry(known, entry)
+	}
+	if known.contradicts(entry) {
+		loop.contest(known, entry)
 		return
-	case entry.Incarnation > known.entry.Incarnation:
-		loop.beginIncarnation(known, entry)
+	}
+	delete(loop.contested, entry.ID)
+	if !entry.sameInstance(known.link.entry) {
+		loop.replaceLink(known, entry)
 	}
 	known.entry, known.listed = entry, true
 	loop.recordReport(known)
@@ -94,14 +104,71 @@
 	if entry.Draining {
 		loop.evacuate(known)
 	}
-	if known.link != nil && known.entry.Address != known.link.entry.Address {
-		loop.beginIncarnation(known, entry)
-	}
 	if loop.capacityKnown(known) {
 		known.sendAwaiting()
 	}
 }
 
+// connectWithoutEntry connects a worker on which runs of a former controller were restored before its entry was read. The
+// runs are where the former controller placed them, whatever the entry says.
+func (loop *dispatcher) connectWithoutEntry(known *worker, entry WorkerEntry) {
+	if known.entry.Address != "" && !entry.sameInstance(known.entry) {
+		entry = known.entry
+		entry.ReadAt = time.Now()
+	}
+	loop.connectRestored(known, entry)
+}
+
+// sameInstance reports whether two entries name the same incarnation of a worker at the same address.
+func (entry WorkerEntry) sameInstance(other WorkerEntry) bool {
+	return entry.Incarnation == other.Incarnation && entry.Address == other.Address
+}
+
+// contradicts reports whether an entry names another incarnation or address although the known one is not known to have
+// failed. Such an entry may be wrong, and the runs of the worker would be lost with the link to it. If the incarnation is
+// the same, its runs are where they were, and only the end of their leases shows that they have ended.
+func (worker *worker) contradicts(entry WorkerEntry) bool {
+	known := worker.link.entry
+	switch {
+	case entry.sameInstance(known):
+		return false
+	case !worker.unresponsive:
+		return true
+	}
+	return entry.Incarnation == known.Incarnation && worker.occupied()
+}
+
+// contest puts off an entry that contradicts what is known of the worker, and has the worker polled. No task starts there
+// until the worker has failed, or it or an entry resolves the contradiction.
+func (loop *dispatcher) contest(known *worker, entry WorkerEntry) {
+	former, ok := loop.contested[entry.ID]
+	if !ok || !entry.sameInstance(former) {
+		loop.Logger.Info("worker entry contradicts the known instance; polling it", "worker", string(entry.ID),
+			"incarnation", int64(entry.Incarnation), "address", entry.Address,
+			"known", int64(known.link.entry.Incarnation), "known_address", known.link.entry.Address)
+	}
+	loop.contested[entry.ID] = entry
+	loop.markUnlisted(entry.ID)
+	known.link.check()
+}
+
+// resolveContested follows an entry that was put off, once it no longer contradicts what is known of the worker.
+func (loop *dispatcher) resolveContested(known *worker) {
+	if entry, ok := loop.contested[known.entry.ID]; ok && !known.contradicts(entry) {
+		loop.observeWorker(entry)
+	}
+}
+
+// check makes the link poll its worker even if the worker is idle.
+func (link *link) check() {
+	link.mu.Lock()
+	if !link.duty.occupied {
+		link.unresponsive = true
+	}
+	link.mu.Unlock()
+	link.notify()
+}
+
 const (
 	// drainSlack is how much longer than announced a draining worker is expected to stay.
 	drainSlack = time.Second
@@ -169,6 +236,9 @@
 	if worker.link == nil || entry.Incarnation == 0 || entry.Incarnation != worker.link.entry.Incarnation {
 		worker.lastEnd, worker.unstoredEnds, worker.withheldEnds = 0, map[int64]bool{}, nil
 	}
+	// The clock in an entry may be ahead, and a lease that was granted by it would never count as expired. The first
+	// response tells the time before anything depends on it.
+	entry.Clock = 0
 	worker.link = newLink(loop.ctx, loop, entry, token, formerLeasesUntil)
 	for _, run := range worker.unexpected {
 		run.link = worker.link
@@ -176,11 +246,45 @@
 	worker.updateLink()
 }
 
-// beginIncarnation replaces the link to a worker that has restarted or whose address has changed. The new link has a
+// minRestartInterval is the shortest time between two replacements of a worker's link because the worker names another
+// incarnation. It prevents a busy loop of polls to a worker that names another one each time.
+const minRestartInterval = time.Second
+
+// restart is the replacement of a worker's link that waits for minRestartInterval.
+type restart struct {
+	link  *link
+	entry WorkerEntry
+}
+
+// beginIncarnation replaces the link to a worker that names another incarnation, or has it replaced later if it was
+// replaced just now. Until then the worker is not polled and gets no new tasks.
+func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
+	if last, ok := loop.restartedAt[entry.ID]; ok && loop.clock()-last < minRestartInterval {
+		loop.restarts[entry.ID] = restart{link: worker.link, entry: entry}
+		worker.settled = false
+		return
+	}
+	loop.restartedAt[entry.ID] = loop.clock()
+	loop.replaceLink(worker, entry)
+}
+
+// restartIfDue replaces the link of a worker if that was put off.
+func (loop *dispatcher) restartIfDue(worker *worker) {
+	delayed, ok := loop.restarts[worker.entry.ID]
+	if !ok || loop.clock()-loop.restartedAt[worker.entry.ID] < minRestartInterval {
+		return
+	}
+	delete(loop.restarts, worker.entry.ID)
+	if worker.link == delayed.link {
+		loop.beginIncarnation(worker, delayed.entry)
+	}
+}
+
+// replaceLink replaces the link to a worker that has restarted or whose address has changed. The new link has a
 // higher token, so that the worker refuses delayed orders of the old link. A start that the old link sent may still
 // have reached the new incarnation. Therefore only the first listing under the new token shows which runs are lost, and
 // stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
-func (loop *dispatcher) beginIncarnation(worker *worker, entry WorkerEntry) {
+func (loop *dispatcher) replaceLink(worker *worker, entry WorkerEntry) {
 	token := worker.link.token + 1
 	if entry.Incarnation > worker.entry.Incarnation {
 		worker.markFailing(loop.clock(), false)
--- a/internal/control/relisted_worker_test.go
+++ b/internal/control/relisted_worker_test.go
@@ -15,6 +15,7 @@
 		entry := WorkerEntry{ID: "w0000", Incarnation: 1}
 		loop.observeWorker(entry)
 		entry.Incarnation++
+		loop.workers[entry.ID].unresponsive = true
 		loop.observeWorker(entry)
 		former := loop.workers[entry.ID].link
 		loop.markUnlisted(entry.ID)
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -2,6 +2,7 @@
 package workload
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -152,6 +153,20 @@
 	Advice           Advice        `json:"advice,omitzero"`
 }
 
+// maxObjective limits the completion time that callers aim for. Small multiples of it stay within time.Duration.
+const maxObjective = 50 * 365 * 24 * time.Hour
+
+// Objective returns the completion time that callers aim for, counted from acceptance, for a job with a critical path.
+func (policy JobPolicy) Objective(criticalPath time.Duration) time.Duration {
+	const limit = float64(maxObjective)
+	// The conversion of the product keeps processors from computing the sum with another rounding.
+	objective := float64(policy.Stretch*float64(criticalPath)) + float64(policy.CompletionOffset)
+	if math.IsNaN(objective) {
+		return 0
+	}
+	return time.Duration(min(max(objective, -limit), limit))
+}
+
 // Advice describes the adviser that selects the workers that may run the steps of a profile. The zero value means that
 // the profile has no adviser.
 type Advice struct {
@@ -201,8 +216,50 @@
 			return errors.Wrapf(err, "steps[%d]", i)
 		}
 	}
-	if job.Schedule.Count < 0 || job.Schedule.Interval < 0 {
-		return errors.New("schedule: the number of occurrences or the interval is negative")
+	if err := job.Schedule.check(); err != nil {
+		return errors.Wrap(err, "schedule")
+	}
+	return job.checkSize()
+}
+
+const (
+	// maxJobTasks limits the tasks of all steps and occurrences of a job, which are all in its record.
+	maxJobTasks = 1 << 16
+	// maxJobTime limits the declared run times of all steps of a job together, and the time from the first to the last
+	// occurrence. Sums of such times with points in time stay within time.Duration.
+	maxJobTime = 100 * 365 * 24 * time.Hour
+	// maxYear is the last year that a time in JSON can have.
+	maxYear = 9999
+)
+
+// checkSize returns an error if the steps together have too many tasks or too long run times.
+func (job Job) checkSize() error {
+	tasks, estimates := 0, time.Duration(0)
+	for _, step := range job.Steps {
+		tasks += step.Tasks
+		if tasks > maxJobTasks/job.Schedule.Occurrences() {
+			return errors.Errorf("steps: there are more than %d tasks in all occurrences", maxJobTasks)
+		}
+		if step.Estimate < -maxJobTime || step.Estimate > maxJobTime {
+			return errors.Errorf("estimate: %s is beyond %s", step.Estimate, maxJobTime)
+		}
+		estimates += step.Estimate.Abs()
+		if estimates > maxJobTime {
+			return errors.Errorf("estimate: the steps together take more than %s", maxJobTime)
+		}
+	}
+	return nil
+}
+
+func (schedule Schedule) check() error {
+	if schedule.Count < 0 || schedule.Interval < 0 {
+		return errors.New("the number of occurrences or the interval is negative")
+	}
+	if schedule.Interval > maxJobTime/time.Duration(schedule.Occurrences()) {
+		return errors.Errorf("the occurrences take more than %s", maxJobTime)
+	}
+	if year := schedule.First.Year(); year < 1 || year > maxYear {
+		return errors.Errorf("the first occurrence is in the year %d", year)
 	}
 	return nil
 }
@@ -210,12 +267,18 @@
 // maxTasks limits the tasks of one step, so that a job's record stays below the maximum value size of the store.
 const maxTasks = 4096
 
+// maxAmount limits each resource amount of a task. It is far above what a worker has, and sums over the tasks of many jobs
+// stay far below the largest integer.
+const maxAmount = 1 << 32
+
 func (step Step) check(index int) error {
 	switch {
 	case step.Tasks < 1 || step.Tasks > maxTasks:
 		return errors.Errorf("count: %d is not between 1 and %d", step.Tasks, maxTasks)
 	case !step.Each.NonNegative():
 		return errors.New("a resource amount of a task is negative")
+	case step.Each.Millicores > maxAmount || step.Each.MemoryMiB > maxAmount || step.Each.Accelerators > maxAmount:
+		return errors.Errorf("a resource amount of a task is above %d", maxAmount)
 	case step.MaxPerWorker < 0 || step.MaxUnavailable < 0:
 		return errors.New("the limit of tasks per worker or of unavailable tasks is negative")
 	}
