Let the stand-in worker refuse, ignore and delay orders

The tests of the engine had workers that crash, restart or hang, but none that refuse an order, confirm it without doing it, or carry it out late. SetFault sets such a fault for one kind of order, and Received counts the orders, so that tests can bound how often an order is sent again.

--- a/internal/standin/worker/lease.go
+++ b/internal/standin/worker/lease.go
@@ -138,6 +138,12 @@
 // Sync renews leases, removes acknowledged entries from the ended-task log and returns the leases that have changed
 // since a revision.
 func (worker *Worker) Sync(ctx context.Context, request *workerv1.SyncRequest) (*workerv1.SyncResponse, error) {
+	return handleOrder(ctx, worker, OrderSync, func(ctx context.Context, _ Fault) (*workerv1.SyncResponse, error) {
+		return worker.sync(ctx, request)
+	})
+}
+
+func (worker *Worker) sync(ctx context.Context, request *workerv1.SyncRequest) (*workerv1.SyncResponse, error) {
 	now, err := worker.beginCall(ctx)
 	if err != nil {
 		return nil, err
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -97,6 +97,9 @@
 	endedLog      []string
 	failEveryTask bool
 	down          bool
+	// faults holds the faults that SetFault has set. received counts the orders by kind.
+	faults   map[Order]*Fault
+	received map[Order]int
 	// hangEnded is closed when the worker stops hanging; nil while it does not hang.
 	hangEnded chan struct{}
 }
@@ -109,6 +112,8 @@
 		record:      record,
 		incarnation: 1,
 		leases:      make(map[string]*lease),
+		faults:      make(map[Order]*Fault),
+		received:    make(map[Order]int),
 	}
 	worker.epoch = worker.settings.Now()
 	record.addWorker(worker)
@@ -190,15 +195,20 @@
 func (worker *Worker) Reserve(
 	ctx context.Context, request *workerv1.ReserveRequest,
 ) (*workerv1.ReserveResponse, error) {
-	now, err := worker.beginCall(ctx)
-	if err != nil {
-		return nil, err
+	handle := func(ctx context.Context, fault Fault) (*workerv1.ReserveResponse, error) {
+		now, err := worker.beginCall(ctx)
+		if err != nil {
+			return nil, err
+		}
+		defer worker.mutex.Unlock()
+		response := &workerv1.ReserveResponse{WorkerMs: worker.clock(now), Refusal: fault.Refusal}
+		if response.Refusal == "" {
+			response.Refusal = worker.reserve(now, request)
+		}
+		response.Granted = response.Refusal == ""
+		return response, nil
 	}
-	defer worker.mutex.Unlock()
-	response := &workerv1.ReserveResponse{WorkerMs: worker.clock(now)}
-	response.Refusal = worker.reserve(now, request)
-	response.Granted = response.Refusal == ""
-	return response, nil
+	return handleOrder(ctx, worker, OrderReserve, handle)
 }
 
 // reserve returns an empty string if it grants the lease, or the reason for the refusal. A repeated request for a
@@ -230,7 +240,7 @@
 
 // Start starts a task under a reservation that has not expired.
 func (worker *Worker) Start(ctx context.Context, request *workerv1.StartRequest) (*workerv1.CommandResponse, error) {
-	return worker.command(ctx, request.LeaseId, request.ExpiresWorkerMs, func(held *lease, now time.Time) string {
+	return worker.command(ctx, OrderStart, request, func(held *lease, now time.Time) string {
 		if held.state != workerv1.TaskState_TASK_STATE_RESERVED {
 			return refusalNoLease
 		}
@@ -265,7 +275,7 @@
 func (worker *Worker) Release(
 	ctx context.Context, request *workerv1.CommandRequest,
 ) (*workerv1.CommandResponse, error) {
-	return worker.command(ctx, request.LeaseId, request.ExpiresWorkerMs, func(held *lease, now time.Time) string {
+	return worker.command(ctx, OrderRelease, request, func(held *lease, now time.Time) string {
 		if held.state != workerv1.TaskState_TASK_STATE_RESERVED {
 			return refusalNoLease
 		}
@@ -276,7 +286,7 @@
 
 // Stop ends the task of a lease at once and frees its accelerators.
 func (worker *Worker) Stop(ctx context.Context, request *workerv1.CommandRequest) (*workerv1.CommandResponse, error) {
-	return worker.command(ctx, request.LeaseId, request.ExpiresWorkerMs, func(held *lease, now time.Time) string {
+	return worker.command(ctx, OrderStop, request, func(held *lease, now time.Time) string {
 		state := workerv1.TaskState_TASK_STATE_STOPPED
 		if held.state == workerv1.TaskState_TASK_STATE_RESERVED {
 			state = workerv1.TaskState_TASK_STATE_RELEASED
@@ -290,7 +300,7 @@
 func (worker *Worker) Checkpoint(
 	ctx context.Context, request *workerv1.CommandRequest,
 ) (*workerv1.CommandResponse, error) {
-	return worker.command(ctx, request.LeaseId, request.ExpiresWorkerMs, func(held *lease, now time.Time) string {
+	return worker.command(ctx, OrderCheckpoint, request, func(held *lease, now time.Time) string {
 		if held.state != workerv1.TaskState_TASK_STATE_RUNNING {
 			return refusalNoLease
 		}
@@ -308,7 +318,7 @@
 func (worker *Worker) Throttle(
 	ctx context.Context, request *workerv1.ThrottleRequest,
 ) (*workerv1.CommandResponse, error) {
-	return worker.command(ctx, request.LeaseId, request.ExpiresWorkerMs, func(held *lease, now time.Time) string {
+	return worker.command(ctx, OrderThrottle, request, func(held *lease, now time.Time) string {
 		if held.run == nil || request.Percent < 1 || request.Percent > 100 {
 			return refusalNoLease
 		}
@@ -319,28 +329,43 @@
 	})
 }
 
+// commandRequest is a command on a lease.
+type commandRequest interface {
+	GetLeaseId() string
+	GetExpiresWorkerMs() int64
+}
+
 // command applies a command to an active lease unless the command has expired. The function apply returns the reason
 // for a refusal, or an empty string.
 func (worker *Worker) command(
-	ctx context.Context, id string, expiresMs int64, apply func(*lease, time.Time) string,
+	ctx context.Context, order Order, request commandRequest, apply func(*lease, time.Time) string,
 ) (*workerv1.CommandResponse, error) {
-	now, err := worker.beginCall(ctx)
-	if err != nil {
-		return nil, err
+	handle := func(ctx context.Context, fault Fault) (*workerv1.CommandResponse, error) {
+		now, err := worker.beginCall(ctx)
+		if err != nil {
+			return nil, err
+		}
+		defer worker.mutex.Unlock()
+		response := &workerv1.CommandResponse{WorkerMs: worker.clock(now), Refusal: fault.Refusal}
+		if response.Refusal == "" && !fault.Ignored {
+			response.Refusal = worker.apply(now, request, apply)
+		}
+		response.Done = response.Refusal == ""
+		return response, nil
 	}
-	defer worker.mutex.Unlock()
-	response := &workerv1.CommandResponse{WorkerMs: worker.clock(now)}
-	held, ok := worker.leases[id]
+	return handleOrder(ctx, worker, order, handle)
+}
+
+func (worker *Worker) apply(now time.Time, request commandRequest, apply func(*lease, time.Time) string) string {
+	held, ok := worker.leases[request.GetLeaseId()]
 	switch {
-	case worker.expired(now, expiresMs):
-		response.Refusal = refusalExpired
+	case worker.expired(now, request.GetExpiresWorkerMs()):
+		return refusalExpired
 	case !ok || !held.active():
-		response.Refusal = refusalNoLease
+		return refusalNoLease
 	default:
-		response.Refusal = apply(held, now)
+		return apply(held, now)
 	}
-	response.Done = response.Refusal == ""
-	return response, nil
 }
 
 // clock returns the time on the clock of the worker at now, in milliseconds. The clock starts at ClockOffset plus 1 ms.
