--- a/internal/worker/gang.go
+++ b/internal/worker/gang.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
@@ -18,9 +17,6 @@
 	errClockUnknown    = errors.New("worker's clock is unknown or was read too long ago")
 )
 
-// refusalNoLease is the refusal of a worker that has no active lease with the given id.
-const refusalNoLease = "no_lease"
-
 // Member is one task of a gang and its lease.
 type Member struct {
 	Worker       fleet.WorkerID
@@ -251,68 +247,3 @@
 		return err == nil
 	})
 }
-
-// StopGang stops every member and returns the final state of each. It waits until every member has ended or ctx is
-// done. A member has ended when its worker confirms the end or the latest end of its lease has passed. Its state is
-// UNSPECIFIED if the worker did not report one. The error is ctx.Err(), which is nil unless ctx is done.
-func (manager *Manager) StopGang(ctx context.Context, members []Member) ([]workerv1.TaskState, error) {
-	ends := make([]workerv1.TaskState, len(members))
-	forEach(members, func(index int, member Member) bool {
-		ends[index] = manager.stop(ctx, member)
-		return true
-	})
-	return ends, ctx.Err()
-}
-
-func (manager *Manager) stop(ctx context.Context, member Member) workerv1.TaskState {
-	endsBy, ok := manager.EndsBy(member.Worker, member.Lease)
-	if !ok {
-		endsBy = time.Now().Add(manager.Timing.MaxLeaseLifetime())
-	}
-	// From now on, no renewal may extend the lease.
-	manager.TrackWithoutRenewal(member, endsBy)
-	for ctx.Err() == nil {
-		if lease, ok := manager.Lease(member.Worker, member.Lease); ok && !lease.Active() {
-			return lease.State
-		}
-		if endsBy, _ := manager.EndsBy(member.Worker, member.Lease); time.Now().After(endsBy) {
-			return workerv1.TaskState_TASK_STATE_UNSPECIFIED
-		}
-		requestedAt := time.Now()
-		if manager.requestStop(ctx, member) {
-			return manager.awaitEndState(ctx, member, requestedAt)
-		}
-		_ = lifecycle.Sleep(ctx, manager.Timing.FastSync)
-	}
-	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
-}
-
-// requestStop sends a stop and reports whether the worker confirmed that no task runs under the lease.
-func (manager *Manager) requestStop(ctx context.Context, member Member) bool {
-	confirmed := false
-	_ = manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
-		response, err := client.Stop(ctx,
-			&workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
-		confirmed = err == nil && (response.Done || response.Refusal == refusalNoLease)
-		return response.GetWorkerMs(), err
-	})
-	return confirmed
-}
-
-// awaitEndState syncs with the worker after a confirmed stop and returns the final state of the lease. It returns
-// UNSPECIFIED if the worker no longer has the lease, or does not report its end within MissedSyncs times SyncEvery.
-func (manager *Manager) awaitEndState(ctx context.Context, member Member, requestedAt time.Time) workerv1.TaskState {
-	manager.SyncFast(member.Worker, time.Now().Add(manager.Timing.SyncEvery))
-	deadline := time.Now().Add(manager.Timing.SyncEvery * time.Duration(manager.Timing.MissedSyncs))
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		lease, ok := manager.Lease(member.Worker, member.Lease)
-		if ok && !lease.Active() {
-			return lease.State
-		}
-		if !ok && manager.SyncedSince(member.Worker, requestedAt) {
-			break
-		}
-		_ = lifecycle.Sleep(ctx, manager.Timing.FastSync/4)
-	}
-	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
-}
