Continue the session of a worker at its new address

When the listed address of a worker changed, a new session without state replaced the old one, which went on polling the old address until the term ended. The gangs on the worker lapsed within 15 s, because the new session did not renew them, and the old one reported the worker as lost. If the worker had also restarted, nobody was told that its leases were gone: a job with one member counted as running for ever.

The session now keeps its state and replaces its link. Responses over the former link are ignored, since another process may have sent them. Until the clock at the new address has been read, no command and no renewal is sent: a renewal without an expiry could extend a lease however late it is handled.

--- a/internal/worker/fleet_test.go
+++ b/internal/worker/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
 
@@ -20,8 +21,9 @@
 	machines []fleet.Worker
 	// workers holds the worker at each address.
 	workers map[string]*standin.Worker
-
 	mutex   sync.Mutex
+	// silent holds the addresses at which no sync is answered.
+	silent  map[string]bool
 	reports []Report
 }
 
@@ -30,9 +32,10 @@
 func runFleet(t *testing.T, workers int, test func(fleet *testFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		tested := &testFleet{t: t, record: standin.NewRecord(), workers: make(map[string]*standin.Worker)}
-		tested.manager = NewManager(func(machine fleet.Worker) Client { return tested.workers[machine.Address] },
-			tested.addReport)
+		tested := &testFleet{
+			t: t, record: standin.NewRecord(), workers: make(map[string]*standin.Worker), silent: make(map[string]bool),
+		}
+		tested.manager = NewManager(tested.dial, tested.addReport)
 		defer tested.manager.Close()
 		for i := range workers {
 			name := fmt.Sprintf("w%d", i)
@@ -47,6 +50,38 @@
 	})
 }
 
+func (tested *testFleet) dial(machine fleet.Worker) Client {
+	return testLink{Client: tested.workers[machine.Address], fleet: tested, address: machine.Address}
+}
+
+// testLink is a connection to the worker at an address.
+type testLink struct {
+	Client
+	fleet   *testFleet
+	address string
+}
+
+func (link testLink) Sync(ctx context.Context, request *workerv1.SyncRequest) (*workerv1.SyncResponse, error) {
+	if link.fleet.isSilent(link.address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return link.Client.Sync(ctx, request)
+}
+
+// silence makes syncs at an address wait without a response from now on.
+func (tested *testFleet) silence(address string) {
+	tested.mutex.Lock()
+	defer tested.mutex.Unlock()
+	tested.silent[address] = true
+}
+
+func (tested *testFleet) isSilent(address string) bool {
+	tested.mutex.Lock()
+	defer tested.mutex.Unlock()
+	return tested.silent[address]
+}
+
 // addWorker starts a worker with the capacity of machine i at an address.
 func (tested *testFleet) addWorker(i int, address string) *standin.Worker {
 	tested.workers[address] = standin.New(tested.machines[i], tested.record, standin.Settings{})
--- a/internal/worker/gang.go
+++ b/internal/worker/gang.go
@@ -191,18 +191,18 @@
 	if !ok {
 		return errWorkerNotListed
 	}
-	expires, ok := session.commandExpiry()
+	link, expires, ok := session.commandLink()
 	if !ok {
 		return errClockUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, manager.Timing.CommandExpiry)
 	defer cancel()
-	workerMS, err := command(ctx, session.client, expires)
+	workerMS, err := command(ctx, link.client, expires)
 	if err != nil {
 		return errors.Wrapf(err, "worker %s", worker)
 	}
 	if workerMS != 0 {
-		session.recordClock(workerMS)
+		session.recordClock(link, workerMS)
 	}
 	return nil
 }
--- a/internal/worker/manager.go
+++ b/internal/worker/manager.go
@@ -104,7 +104,7 @@
 
 // Manager syncs with the workers of a domain: it tracks their health, clocks and leases, and renews leases.
 type Manager struct {
-	// Dial creates a client for a worker. It is called once for each session.
+	// Dial creates a client for a worker. It is called once for each worker and for each change of its address.
 	Dial func(fleet.Worker) Client
 	// Report receives the changes that workers report. It is called from many goroutines and must not block.
 	Report  func(Report)
@@ -148,12 +148,17 @@
 	manager.group.Wait()
 }
 
-// SetFleet starts syncs with new workers and ends the syncs with workers that are no longer listed. The leases of
-// unlisted workers are reported as gone, since an unlisted VM has terminated.
+// SetFleet starts syncs with new workers, continues them at the new address of a worker whose address has changed, and
+// ends the syncs with workers that are no longer listed. The leases of unlisted workers are reported as gone, since an
+// unlisted VM has terminated.
 func (manager *Manager) SetFleet(workers []fleet.Worker) {
 	listed := make(map[fleet.WorkerID]bool, len(workers))
 	for _, machine := range workers {
 		listed[machine.ID] = true
+		if existing, ok := manager.session(machine.ID); ok {
+			existing.changeAddress(machine)
+			continue
+		}
 		manager.addSession(machine)
 	}
 	for _, removed := range manager.removeSessions(listed) {
@@ -165,9 +170,6 @@
 func (manager *Manager) addSession(machine fleet.Worker) {
 	manager.mutex.Lock()
 	defer manager.mutex.Unlock()
-	if existing, ok := manager.sessions[machine.ID]; ok && existing.machine.Address == machine.Address {
-		return
-	}
 	if manager.ctx.Err() != nil {
 		return
 	}
--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -18,14 +18,16 @@
 // responses), and the leases that this process has requested or taken over (tracked).
 type session struct {
 	manager *Manager
-	machine fleet.Worker
-	client  Client
 	ctx     context.Context
 	cancel  context.CancelFunc
 	// syncRequested triggers an immediate sync.
 	syncRequested chan struct{}
 
-	mutex sync.Mutex
+	mutex   sync.Mutex
+	machine fleet.Worker
+	// link is replaced when the address of the worker changes. Responses over an earlier link are ignored, because
+	// another process may have sent them.
+	link *link
 	// workerClockMS is a reading of the worker's clock, taken at the local time clockReadAt or shortly before. If
 	// clockReadAt is zero, the clock has not been read.
 	workerClockMS int64
@@ -65,12 +67,15 @@
 	endsBy time.Time
 }
 
+// link is the connection to one address of a worker.
+type link struct{ client Client }
+
 func newSession(manager *Manager, machine fleet.Worker) *session {
 	ctx, cancel := context.WithCancel(manager.ctx)
 	return &session{
 		manager:       manager,
 		machine:       machine,
-		client:        manager.Dial(machine),
+		link:          &link{manager.Dial(machine)},
 		ctx:           ctx,
 		cancel:        cancel,
 		syncRequested: make(chan struct{}, 1),
@@ -110,32 +115,47 @@
 }
 
 func (session *session) sync() {
-	request := session.nextRequest()
-	// Without an expiry, a delayed renewal could extend a lease that this process already considers ended.
-	request.ExpiresWorkerMs, _ = session.commandExpiry()
+	link, request := session.nextRequest()
 	startedAt := time.Now()
 	ctx, cancel := context.WithTimeout(session.ctx, session.manager.Timing.CommandExpiry)
-	response, err := session.client.Sync(ctx, request)
+	response, err := link.client.Sync(ctx, request)
 	cancel()
 	if session.ctx.Err() != nil {
 		return
 	}
 	if err != nil {
 		session.manager.count("worker_sync_failed", 1)
-		session.manager.deliver(session.recordFailedSync(request))
+		session.manager.deliver(session.recordFailedSync(link, request))
 		return
 	}
-	report, resync := session.applyResponse(request, response, startedAt)
+	report, resync := session.applyResponse(link, request, response, startedAt)
 	session.manager.deliver(report)
 	if resync {
 		session.requestSync()
 	}
 }
 
-// nextRequest builds a sync request with the renewals and acknowledgements that are due. A lease is not renewed if the
-// members of its gang were last confirmed to be active or completed more than RenewEvery ago. It updates the latest end
-// of each renewed lease before the renewal is sent, because the renewal may take effect even if the sync fails.
-func (session *session) nextRequest() *workerv1.SyncRequest {
+// changeAddress continues the session at another address of the worker. The clock at that address is unknown until its
+// first response.
+func (session *session) changeAddress(machine fleet.Worker) {
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	if session.machine.Address == machine.Address {
+		return
+	}
+	session.manager.Logger.Info("worker's address changed", "worker", machine.ID, "from", session.machine.Address,
+		"to", machine.Address)
+	session.machine, session.link = machine, &link{session.manager.Dial(machine)}
+	session.clockReadAt = time.Time{}
+	session.missedSyncs = 0
+	session.requestSync()
+}
+
+// nextRequest builds a sync request with the renewals and acknowledgements that are due, and returns it with the link to
+// send it on. A lease is not renewed if the members of its gang were last confirmed to be active or completed more than
+// RenewEvery ago, or if the worker's clock is unknown. It updates the latest end of each renewed lease before the renewal
+// is sent, because the renewal may take effect even if the sync fails.
+func (session *session) nextRequest() (*link, *workerv1.SyncRequest) {
 	timing := session.manager.Timing
 	now := time.Now()
 	ttl := timing.TaskLease
@@ -154,6 +174,12 @@
 		TtlMs: ttl.Milliseconds(), Since: session.sinceRevision, Acknowledge: session.unacknowledged,
 	}
 	session.unacknowledged = nil
+	// Without an expiry, a delayed renewal could extend a lease that this process already considers ended.
+	expires, ok := session.expiry()
+	if !ok {
+		return session.link, request
+	}
+	request.ExpiresWorkerMs = expires
 	for id := range renew {
 		tracked, ok := session.tracked[id]
 		if !ok || tracked.group == nil {
@@ -164,7 +190,7 @@
 		tracked.endsBy = later(tracked.endsBy, now.Add(timing.MaxLeaseLifetime()))
 	}
 	session.manager.count("worker_lease_renewals", int64(len(request.Renew)))
-	return request
+	return session.link, request
 }
 
 // dueRenewals returns the leases whose renewal is due, with their renewal groups.
@@ -182,16 +208,14 @@
 
 // recordFailedSync counts a failed sync and schedules its renewals and acknowledgements for the next sync. It returns a
 // report of the loss of the worker if this is the failure number MissedSyncs in succession, and an empty report
-// otherwise.
-func (session *session) recordFailedSync(request *workerv1.SyncRequest) Report {
+// otherwise. A failure over an earlier link does not count.
+func (session *session) recordFailedSync(link *link, request *workerv1.SyncRequest) Report {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
-	for _, id := range request.Renew {
-		if tracked, ok := session.tracked[fleet.LeaseID(id)]; ok {
-			tracked.lastRenewal = time.Time{}
-		}
+	session.returnToNextSync(request)
+	if session.link != link {
+		return Report{}
 	}
-	session.unacknowledged = append(session.unacknowledged, request.Acknowledge...)
 	session.missedSyncs++
 	if session.missedSyncs < session.manager.Timing.MissedSyncs || session.lost {
 		return Report{}
@@ -202,14 +226,28 @@
 	return Report{Worker: session.machine.ID, Lost: true}
 }
 
+// returnToNextSync schedules the renewals and acknowledgements of a request for the next sync.
+func (session *session) returnToNextSync(request *workerv1.SyncRequest) {
+	for _, id := range request.Renew {
+		if tracked, ok := session.tracked[fleet.LeaseID(id)]; ok {
+			tracked.lastRenewal = time.Time{}
+		}
+	}
+	session.unacknowledged = append(session.unacknowledged, request.Acknowledge...)
+}
+
 // applyResponse updates the session from a sync response and returns the changes. It returns true if a full sync must
 // follow immediately, because the worker has restarted or the lease table does not match the worker's free
 // accelerators.
 func (session *session) applyResponse(
-	request *workerv1.SyncRequest, response *workerv1.SyncResponse, startedAt time.Time,
+	link *link, request *workerv1.SyncRequest, response *workerv1.SyncResponse, startedAt time.Time,
 ) (Report, bool) {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
+	if session.link != link || session.ctx.Err() != nil {
+		session.returnToNextSync(request)
+		return Report{}, false
+	}
 	report := Report{Worker: session.machine.ID, Found: session.lost || !session.responded}
 	session.missedSyncs, session.lost, session.responded = 0, false, true
 	session.workerClockMS, session.clockReadAt = response.WorkerMs, time.Now()
@@ -411,13 +449,19 @@
 	return leases
 }
 
-// commandExpiry returns the time on the worker's clock after which a command sent now has no effect. The worker's clock
-// is estimated from the last reading, which was taken before its response arrived here. The estimate is therefore never
-// ahead of the clock, apart from drift, and the expiry is never too late. commandExpiry returns false if there is no
-// reading or the last one is older than maxClockReadingAge.
-func (session *session) commandExpiry() (int64, bool) {
+// commandLink returns the link for a command and the expiry of a command that is sent now.
+func (session *session) commandLink() (*link, int64, bool) {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
+	expires, ok := session.expiry()
+	return session.link, expires, ok
+}
+
+// expiry returns the time on the worker's clock after which a command sent now has no effect. The worker's clock is
+// estimated from the last reading, which was taken before its response arrived here. The estimate is therefore never
+// ahead of the clock, apart from drift, and the expiry is never too late. expiry returns false if there is no reading or
+// the last one is older than maxClockReadingAge. The caller holds the lock.
+func (session *session) expiry() (int64, bool) {
 	age := time.Since(session.clockReadAt)
 	if session.clockReadAt.IsZero() || age > maxClockReadingAge {
 		return 0, false
@@ -425,11 +469,13 @@
 	return session.workerClockMS + (age + session.manager.Timing.CommandExpiry).Milliseconds(), true
 }
 
-// recordClock stores the worker's clock from the response to a command.
-func (session *session) recordClock(workerMS int64) {
+// recordClock stores the worker's clock from the response to a command over a link.
+func (session *session) recordClock(link *link, workerMS int64) {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
-	session.workerClockMS, session.clockReadAt = workerMS, time.Now()
+	if session.link == link {
+		session.workerClockMS, session.clockReadAt = workerMS, time.Now()
+	}
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/worker/stop_test.go
+++ b/internal/worker/stop_test.go
@@ -1,7 +1,6 @@
 package worker
 
 import (
-	"context"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -28,7 +27,7 @@
 func (tested *testFleet) stopInBackground(gang Gang) func() ([]workerv1.TaskState, bool) {
 	done := make(chan []workerv1.TaskState, 1)
 	go func() {
-		states, _ := tested.manager.StopGang(context.Background(), gang.Members)
+		states, _ := tested.manager.StopGang(tested.t.Context(), gang.Members)
 		done <- states
 	}()
 	return func() ([]workerv1.TaskState, bool) {
