Return a job whose start was refused to the queue with a pause

A start that a worker answered with an error (429, 503) may have taken effect, so that the gang was stopped and counted as an attempt that ran. A non-idempotent job then ended as unknown, although every worker listed its lease as released without a task. An idempotent job was placed again at once on the same workers, and so was one of whose gang a part had started: workers that refuse every start received as many as the store and the workers could answer, and the store a write for each attempt.

The final listing decides now: a gang that was stopped because members did not start goes back to the queue if no member ran or the job is idempotent, and the workers of these members get no new work until a sync after the refusal, at least a second later, as after a refused reservation.

--- a/internal/domain/attempt.go
+++ b/internal/domain/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/worker"
@@ -93,6 +94,7 @@
 	owner.setMembers(job, recordMembers(&job.record))
 	job.missingLeases = make(map[fleet.LeaseID]bool)
 	job.unrecorded, job.checkpointing, job.evictOnStart, job.attemptEnded = false, false, false, false
+	job.startFailed = nil
 	attempt := job.record.Attempt
 	owner.service.count("placements", 1)
 	owner.logger.Info("attempt placed", "job", job.record.Job, "organisation", job.record.Organisation,
@@ -134,7 +136,8 @@
 }
 
 // gangStartDone processes the result of a gang start. The job is running if every member started. If not every member
-// started but at least one may have run, the gang is stopped. If none has run, the job returns to the queue.
+// started but at least one may have run, the gang is stopped; its final states show whether one has run. If none has
+// run, the job returns to the queue.
 func (owner *owner) gangStartDone(job *job, attempt fleet.Attempt, result worker.StartResult) {
 	key := job.record.Key()
 	if owner.jobs[key] != job || job.phase != phaseStarting || job.record.Attempt != attempt {
@@ -152,14 +155,15 @@
 		}
 		owner.checkGang(job)
 	case result.MayHaveRun:
+		job.startFailed = result.Failed
 		owner.stopGang(job)
 	default:
 		owner.requeueUnstarted(job, append(result.Busy, result.Failed...))
 	}
 }
 
-// requeueUnstarted returns a job to the queue after an attempt that never ran and holds no accelerators. busy holds the
-// workers that refused a reservation or did not start a member.
+// requeueUnstarted returns a job to the queue after an attempt that did not start as a whole and holds no accelerators.
+// busy holds the workers that refused a reservation or did not start a member.
 func (owner *owner) requeueUnstarted(job *job, busy []fleet.WorkerID) {
 	now := time.Now()
 	owner.setPhase(job, phaseQueued)
@@ -251,12 +255,31 @@
 		}
 		owner.post(func() {
 			if owner.jobs[job.record.Key()] == job && job.phase == phaseEnding && job.record.Attempt == attempt {
-				owner.attemptEnded(job, states)
+				owner.gangStopped(job, states)
 			}
 		})
 	})
 }
 
+// gangStopped processes the end of a stopped gang. If it was stopped because members did not start, and no member ran or
+// the job is idempotent, the job returns to the queue, and the workers of these members get no new work until their next
+// sync. Without that pause, a job would start again at once and as often as its workers refuse it.
+func (owner *owner) gangStopped(job *job, states []workerv1.TaskState) {
+	result, _ := classifyAttempt(job.members, states)
+	ran := slices.ContainsFunc(states, func(state workerv1.TaskState) bool {
+		return state != workerv1.TaskState_TASK_STATE_RELEASED
+	})
+	if len(job.startFailed) == 0 || result != scheduler.EndStopped || ran && !job.record.Profile.Idempotent {
+		owner.attemptEnded(job, states)
+		return
+	}
+	if ran {
+		job.record.Begun = job.record.Attempt
+		job.record.Used += owner.attemptUsage(job)
+	}
+	owner.requeueUnstarted(job, job.startFailed)
+}
+
 // classifyAttempt returns how an attempt ended, given the states of its members, and the workers whose members
 // failed or were lost.
 func classifyAttempt(members []worker.Member, states []workerv1.TaskState) (scheduler.EndResult, []fleet.WorkerID) {
--- /dev/null
+++ b/internal/domain/orders_test.go
@@ -0,0 +1,122 @@
+package domain
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+)
+
+// badAnswers are the ways in which a worker does not carry out an order.
+var badAnswers = map[string]*standin.Fault{
+	"unavailable_503":     {Err: connect.NewError(connect.CodeUnavailable, errors.New("unhealthy"))},
+	"too_many_429":        {Err: connect.NewError(connect.CodeResourceExhausted, errors.New("busy"))},
+	"refused_unavailable": {Refusal: "unavailable"},
+	"refused_expired":     {Refusal: "expired"},
+	"refused_no_lease":    {Refusal: "no_lease"},
+	"confirmed_only":      {Ignored: true},
+	"late":                {Delay: 3 * time.Second},
+}
+
+// setFault sets a fault of all workers; nil ends it.
+func (cluster *cluster) setFault(order standin.Order, fault *standin.Fault) {
+	for _, worker := range cluster.workers {
+		worker.SetFault(order, fault)
+	}
+}
+
+// received returns the number of orders of a kind that all workers have received.
+func (cluster *cluster) received(order standin.Order) int {
+	total := 0
+	for _, worker := range cluster.workers {
+		total += worker.Received(order)
+	}
+	return total
+}
+
+// TestCancellationUntilStopped guards against a cancelled job that is reported as cancelled, or whose capacity is given
+// away, while a task of it runs because its worker did not carry out the stop.
+func TestCancellationUntilStopped(t *testing.T) {
+	for name, fault := range badAnswers {
+		for _, ownerDies := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s_%t", name, ownerDies), func(t *testing.T) {
+				runCluster(t, 3, 2, func(t *testing.T, cluster *cluster) {
+					mustSubmit(t, cluster, "j", nonIdempotentProfile, longInput)
+					mustSubmit(t, cluster, "k", idempotentProfile, longInput)
+					mustSubmit(t, cluster, "next", idempotentProfile, standin.Input{RunTimeMS: 2_000})
+					time.Sleep(3 * time.Second)
+					cluster.setFault(standin.OrderStop, fault)
+					cluster.cancel("j")
+					cluster.cancel("k")
+					time.Sleep(time.Second)
+					if ownerDies {
+						cluster.processes[0].kill()
+					}
+					time.Sleep(9 * time.Second)
+					cluster.setFault(standin.OrderStop, nil)
+					cluster.awaitOutcome("j", cancelled, 5*time.Second)
+					cluster.awaitOutcome("k", cancelled, 5*time.Second)
+					cluster.awaitOutcome("next", completed, time.Minute)
+				})
+			})
+		}
+	}
+}
+
+// TestRefusedStarts guards against jobs that end as unknown although the listings show that no worker started them, and
+// against a flood of attempts while every worker refuses.
+func TestRefusedStarts(t *testing.T) {
+	for _, order := range []standin.Order{standin.OrderReserve, standin.OrderStart} {
+		for name, fault := range badAnswers {
+			if order == standin.OrderReserve && fault.Ignored {
+				continue
+			}
+			t.Run(fmt.Sprintf("%s_%s", order, name), func(t *testing.T) {
+				runCluster(t, 6, 2, func(t *testing.T, cluster *cluster) {
+					cluster.setFault(order, fault)
+					mustSubmit(t, cluster, "once", nonIdempotentProfile, standin.Input{RunTimeMS: 5_000})
+					mustSubmit(t, cluster, "again", idempotentProfile, standin.Input{RunTimeMS: 5_000})
+					time.Sleep(10 * time.Second)
+					cluster.checkOrderRate(order, 10*time.Second)
+					cluster.setFault(order, nil)
+					if fault.Ignored {
+						// The worker confirmed a start that its listing does not show.
+						cluster.awaitOutcome("once", unknown, 30*time.Second)
+					} else {
+						cluster.awaitOutcome("once", completed, 30*time.Second)
+					}
+					cluster.awaitOutcome("again", completed, 30*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestOneWorkerRefusesStarts guards against a flood of attempts, each of which runs partly, while one worker refuses.
+func TestOneWorkerRefusesStarts(t *testing.T) {
+	for name, fault := range badAnswers {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 2, 1, func(t *testing.T, cluster *cluster) {
+				cluster.workers["w0"].SetFault(standin.OrderStart, fault)
+				mustSubmit(t, cluster, "again", idempotentProfile, standin.Input{RunTimeMS: 5_000})
+				time.Sleep(10 * time.Second)
+				cluster.checkOrderRate(standin.OrderStart, 10*time.Second)
+				cluster.setFault(standin.OrderStart, nil)
+				cluster.awaitOutcome("again", completed, 30*time.Second)
+			})
+		})
+	}
+}
+
+// checkOrderRate reports an error if the workers received more than two orders a second each, which is one attempt with
+// two members.
+func (cluster *cluster) checkOrderRate(order standin.Order, within time.Duration) {
+	cluster.t.Helper()
+	if rate := float64(cluster.received(order)) / within.Seconds() / float64(len(cluster.workers)); rate > 2 {
+		cluster.t.Errorf("%.1f orders (%s) a second and worker, want at most 2", rate, order)
+	}
+}
