Stop a gang whose worker was lost while it started

The loss of a worker is reported once, and jobs that are still starting ignored the report. If the worker still confirmed the start, for instance because it answered commands but no syncs, its job counted as running although no task ran: no lease was renewed, and no listing was read. It stayed so until the worker answered again or was no longer listed.

The check of a gang, which follows its start and its recovery, now reads whether a worker of an active member is lost.

--- a/internal/domain/attempt.go
+++ b/internal/domain/attempt.go
@@ -214,13 +214,14 @@
 }
 
 // checkGang checks the members of a running gang. It ends the attempt once every member has ended. It stops the gang
-// when a member failed or was lost, or checkpointed without a request.
+// when a member failed or was lost, or checkpointed without a request. A worker that was lost while the gang started or
+// was recovered is not reported again, so that its state is read here.
 func (owner *owner) checkGang(job *job) {
 	if job.phase != phaseRunning {
 		return
 	}
 	states := make([]workerv1.TaskState, len(job.members))
-	active, checkpointed, failed := 0, 0, 0
+	active, checkpointed, failed, lost := 0, 0, 0, 0
 	for i, member := range job.members {
 		lease, ok := owner.manager.Lease(member.Worker, member.Lease)
 		states[i] = lease.State
@@ -229,6 +230,9 @@
 			failed++
 		case !ok || lease.Active():
 			active++
+			if owner.manager.Lost(member.Worker) {
+				lost++
+			}
 		case lease.State == workerv1.TaskState_TASK_STATE_CHECKPOINTED:
 			checkpointed++
 		case lease.State != workerv1.TaskState_TASK_STATE_COMPLETED:
@@ -238,7 +242,7 @@
 	switch {
 	case active == 0:
 		owner.attemptEnded(job, states)
-	case failed > 0 || checkpointed > 0 && !job.checkpointing:
+	case failed > 0 || lost > 0 || checkpointed > 0 && !job.checkpointing:
 		owner.stopGang(job)
 	}
 }
--- a/internal/domain/fakes_test.go
+++ b/internal/domain/fakes_test.go
@@ -31,6 +31,8 @@
 	down     bool
 	// lostResponses is the number of coming writes whose responses are lost after the writes took effect.
 	lostResponses int
+	// delay is the time that a write takes.
+	delay time.Duration
 }
 
 func newMemoryStore() *memoryStore {
@@ -57,6 +59,12 @@
 	store.lostResponses = count
 }
 
+func (store *memoryStore) setDelay(delay time.Duration) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.delay = delay
+}
+
 func (store *memoryStore) swap(
 	key string, value []byte, expected platform.StoreRevision,
 ) (platform.StoreRevision, error) {
@@ -131,6 +139,10 @@
 	if err := link.awaitRunning(ctx); err != nil {
 		return 0, err
 	}
+	link.store.mutex.Lock()
+	delay := link.store.delay
+	link.store.mutex.Unlock()
+	time.Sleep(delay)
 	revision, err := link.store.swap(key, value, expected)
 	link.setHealth(err)
 	link.process.countCall("swap")
--- a/internal/domain/orders_test.go
+++ b/internal/domain/orders_test.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
 
 // badAnswers are the ways in which a worker does not carry out an order.
@@ -120,3 +122,42 @@
 		cluster.t.Errorf("%.1f orders (%s) a second and worker, want at most 2", rate, order)
 	}
 }
+
+// TestWorkersLostDuringGangStart guards against a job that counts as running for ever because its workers were lost for
+// syncs, but not for commands, before its gang had started.
+func TestWorkersLostDuringGangStart(t *testing.T) {
+	for _, name := range []string{idempotentProfile, nonIdempotentProfile} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 2, 1, func(t *testing.T, cluster *cluster) {
+				cluster.setFault(standin.OrderSync, badAnswers["unavailable_503"])
+				time.Sleep(200 * time.Millisecond)
+				// The job is created before the third failed sync and its attempt recorded after it.
+				cluster.store.setDelay(1500 * time.Millisecond)
+				mustSubmit(t, cluster, "j", name, longInput)
+				time.Sleep(time.Minute)
+				if _, reason := cluster.status("j"); cluster.received(standin.OrderStart) == 0 ||
+					strings.HasPrefix(reason, "running") && cluster.running("j") == 0 {
+					t.Errorf("%d starts sent, no task runs, and the job is %s",
+						cluster.received(standin.OrderStart), reason)
+				}
+				cluster.setFault(standin.OrderSync, nil)
+				if name == idempotentProfile {
+					cluster.awaitOutcome("j", completed, 2*time.Minute)
+				} else {
+					cluster.awaitOutcome("j", unknown, 2*time.Minute)
+				}
+			})
+		})
+	}
+}
+
+// running returns the number of tasks of a job that run.
+func (cluster *cluster) running(id string) int {
+	count := 0
+	for _, run := range cluster.record.Runs() {
+		if run.Key.Job == fleet.JobID(id) && run.End.IsZero() {
+			count++
+		}
+	}
+	return count
+}
