Stop runs of ended attempts that a worker lists again

An attempt ends when the leases of members on silent workers have ended. A worker that was suspended, clock included, lists such a run again after that. The listing had not changed, so that nothing compared it with the attempts: the run went on beside the next attempt of its job, or after the end of the job was reported, until a change of its usage was reported or its lease ended on the worker's clock. A lease of the last attempt of a waiting job was never compared at all. A lease without an attempt was stopped once, whatever became of the stop.

Each report of a worker now compares all of its active leases with the current attempts.

--- a/internal/domain/cluster_test.go
+++ b/internal/domain/cluster_test.go
@@ -44,6 +44,7 @@
 	store   *memoryStore
 	record  *standin.Record
 	workers map[fleet.WorkerID]*standin.Worker
+	clocks  map[fleet.WorkerID]*workerClock
 	fleet   fleet.Inventory
 
 	mutex sync.Mutex
@@ -61,6 +62,7 @@
 		store:    newMemoryStore(),
 		record:   standin.NewRecord(),
 		workers:  make(map[fleet.WorkerID]*standin.Worker),
+		clocks:   make(map[fleet.WorkerID]*workerClock),
 		fleet:    fleet.Inventory{Revision: 1},
 		reported: make(map[fleet.JobKey]standin.ReportedOutcome),
 	}
@@ -69,8 +71,10 @@
 			ID: fleet.WorkerID(fmt.Sprintf("w%d", i)), Region: "r", Cores: 32, Memory: 1 << 36, Accelerators: 8,
 		}
 		cluster.fleet.Workers = append(cluster.fleet.Workers, machine)
+		clock := new(workerClock)
+		cluster.clocks[machine.ID] = clock
 		cluster.workers[machine.ID] = standin.New(machine, cluster.record,
-			standin.Settings{ClockOffset: time.Duration(i) * time.Hour})
+			standin.Settings{ClockOffset: time.Duration(i) * time.Hour, Now: clock.now})
 	}
 	for i := range processes {
 		cluster.startProcess(fmt.Sprintf("p%d", i))
@@ -78,6 +82,44 @@
 	return cluster
 }
 
+// workerClock is the clock of a worker, which stands still while the worker is suspended.
+type workerClock struct {
+	mutex     sync.Mutex
+	stoppedAt time.Time
+	lag       time.Duration
+}
+
+func (clock *workerClock) now() time.Time {
+	clock.mutex.Lock()
+	defer clock.mutex.Unlock()
+	if !clock.stoppedAt.IsZero() {
+		return clock.stoppedAt.Add(-clock.lag)
+	}
+	return time.Now().Add(-clock.lag)
+}
+
+func (clock *workerClock) stop() {
+	clock.mutex.Lock()
+	defer clock.mutex.Unlock()
+	clock.stoppedAt = time.Now()
+}
+
+func (clock *workerClock) resume() {
+	clock.mutex.Lock()
+	defer clock.mutex.Unlock()
+	clock.lag += time.Since(clock.stoppedAt)
+	clock.stoppedAt = time.Time{}
+}
+
+// suspend stops a worker, its tasks and its clock for a time.
+func (cluster *cluster) suspend(id fleet.WorkerID, length time.Duration) {
+	cluster.workers[id].Hang(true)
+	cluster.clocks[id].stop()
+	time.Sleep(length)
+	cluster.clocks[id].resume()
+	cluster.workers[id].Hang(false)
+}
+
 func testConfig() *profile.Config {
 	shape := &fleet.Shape{Members: 3, Accelerators: 4, Cores: 1, Memory: 1}
 	limits := profile.Limits{MaxWaiting: 1000}
--- a/internal/domain/job.go
+++ b/internal/domain/job.go
@@ -132,6 +132,16 @@
 	return false
 }
 
+// holds reports whether a lease belongs to a member of an attempt that has not ended.
+func (job *job) holds(id fleet.LeaseID) bool {
+	switch job.phase {
+	case phaseRecovering, phaseStarting, phaseRunning, phaseEnding:
+		return job.hasMember(id)
+	default:
+		return false
+	}
+}
+
 // countedByCore reports whether the core counts the accelerators of the job's members as in use.
 func (job *job) countedByCore() bool {
 	return job.inCore && (job.phase == phaseStarting || job.phase == phaseRunning || job.phase == phaseEnding)
--- a/internal/domain/orders_test.go
+++ b/internal/domain/orders_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
@@ -151,6 +152,36 @@
 	}
 }
 
+// TestRunListedAfterItsAttempt guards against a run of an ended attempt that is not stopped although its worker, which was
+// suspended while the attempt ended, still lists it.
+func TestRunListedAfterItsAttempt(t *testing.T) {
+	for _, name := range []string{idempotentProfile, nonIdempotentProfile} {
+		t.Run(name, func(t *testing.T) {
+			// The invariants don't hold for a worker whose clock stands still.
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, 2, 1)
+				defer cluster.close()
+				time.Sleep(8 * time.Second)
+				mustSubmit(t, cluster, "j", name, longInput)
+				time.Sleep(1500 * time.Millisecond)
+				cluster.suspend("w1", 25*time.Second)
+				stops := cluster.workers["w1"].Received(standin.OrderStop)
+				time.Sleep(4 * time.Second)
+				if cluster.running("j") == 0 {
+					t.Fatal("the suspended task does not run any more, so that nothing is shown")
+				}
+				time.Sleep(4 * time.Second)
+				for _, run := range cluster.record.Runs() {
+					if run.Attempt == 1 && run.End.IsZero() {
+						t.Errorf("a task of the ended attempt runs on %s 8 s after it was listed again, and %d stops were sent",
+							run.Worker, cluster.workers[run.Worker].Received(standin.OrderStop)-stops)
+					}
+				}
+			})
+		})
+	}
+}
+
 // running returns the number of tasks of a job that run.
 func (cluster *cluster) running(id string) int {
 	count := 0
--- a/internal/domain/worker_reports.go
+++ b/internal/domain/worker_reports.go
@@ -83,7 +83,8 @@
 }
 
 // updateForeign reports the foreign accelerators of a worker to the core if their number has changed. Foreign
-// accelerators are occupied by leases that the core does not count as in use by its jobs.
+// accelerators are occupied by leases that the core does not count as in use by its jobs. Those of no current attempt
+// become unmatched: the worker may list a lease that has been taken for ended, and does not report it as changed.
 func (owner *owner) updateForeign(id fleet.WorkerID) {
 	if !owner.manager.Reachable(id) {
 		return
@@ -94,6 +95,9 @@
 		if job == nil || !job.countedByCore() || !job.hasMember(lease.ID) {
 			foreign += lease.Accelerators
 		}
+		if job == nil || !job.holds(lease.ID) {
+			owner.addUnmatched(id, lease.ID, lease.Key)
+		}
 	}
 	if reported, ok := owner.reportedForeign[id]; ok && reported == foreign {
 		return
@@ -151,7 +155,7 @@
 	}
 	attempt := fleet.Attempt(lease.Label.GetAttempt())
 	switch {
-	case job.hasMember(lease.ID):
+	case job.holds(lease.ID), job.hasMember(lease.ID) && !lease.Active():
 		delete(owner.unmatched, lease.ID)
 	case job.phase == phaseRecovering || job.phase == phaseEnding || job.saving:
 	case lease.Active() && attempt > job.record.Attempt:
@@ -197,7 +201,7 @@
 	})
 }
 
-// stopUnmatched stops a lease that belongs to no attempt and acknowledges its end to the worker.
+// stopUnmatched stops a lease that belongs to no attempt, or acknowledges its end to the worker.
 func (owner *owner) stopUnmatched(unmatched unmatchedLease, lease worker.Lease) {
 	if !lease.Active() {
 		owner.manager.Forget(lease.Worker, lease.ID)
@@ -214,10 +218,21 @@
 		if _, err := owner.manager.StopGang(ctx, []worker.Member{member}); err != nil {
 			return
 		}
-		owner.post(func() {
-			owner.manager.Forget(lease.Worker, lease.ID)
-			delete(owner.unmatched, lease.ID)
-			owner.updateForeign(lease.Worker)
-		})
+		owner.post(func() { owner.unmatchedStopped(unmatched, lease.ID) })
 	})
 }
+
+// unmatchedStopped resolves an unmatched lease that has been stopped. If its worker could not be reached and may list
+// it as active again, it stays unmatched.
+func (owner *owner) unmatchedStopped(unmatched unmatchedLease, id fleet.LeaseID) {
+	unmatched.resolving, unmatched.since = false, time.Now()
+	owner.unmatched[id] = unmatched
+	if lease, ok := owner.manager.Lease(unmatched.worker, id); !ok {
+		delete(owner.unmatched, id)
+	} else if !lease.Active() && owner.jobs[unmatched.key] == nil {
+		owner.stopUnmatched(unmatched, lease)
+	} else if !lease.Active() {
+		owner.resolveUnmatchedLease(unmatched, lease)
+	}
+	owner.updateForeign(unmatched.worker)
+}
