Keep a cancellation when another process has written the record

When the write of a cancellation conflicted with one of another process, as with two owners during a partition, the owner replaced its state by the other record and then told the caller that the cancellation was accepted. No record contained it any more, and the job ran to its end.

The owner keeps the cancellation, writes it on top of the other record, and answers the caller once that write has succeeded or failed otherwise.

Before, TestCancellationDuringConflict failed for both kinds of jobs with 'the cancellation was acknowledged, but the stored record does not show it' and the outcome PENDING 15 s later.

--- a/internal/domain/end.go
+++ b/internal/domain/end.go
@@ -113,7 +113,7 @@
 }
 
 // cancel records a cancellation and passes it to the core. It reports false if the job is not in this owner's state. It
-// calls done once the write of the cancellation or of the job's end has succeeded or failed.
+// calls done once the write of the cancellation or of the job's end has succeeded or failed other than by a conflict.
 func (owner *owner) cancel(key fleet.JobKey, done func()) bool {
 	job := owner.jobs[key]
 	if job == nil {
@@ -124,7 +124,7 @@
 		done()
 		return true
 	}
-	job.saveCallbacks = append(job.saveCallbacks, func(saveResult) { done() })
+	job.saveCallbacks = append(job.saveCallbacks, owner.cancellationSaved(job, done))
 	if repeated {
 		return true
 	}
@@ -148,6 +148,18 @@
 	return true
 }
 
+// cancellationSaved returns a callback that calls done after a write that contains the cancellation of a job. If the write
+// conflicted with that of another process, the cancellation is written again first.
+func (owner *owner) cancellationSaved(job *job, done func()) func(saveResult) {
+	return func(result saveResult) {
+		if result.conflicting != nil && owner.jobs[job.record.Key()] == job {
+			owner.save(job, owner.cancellationSaved(job, done))
+			return
+		}
+		done()
+	}
+}
+
 func outcomeName(outcome callerv1.Outcome) string {
 	name := outcome.String()
 	return name[len("OUTCOME_"):]
--- a/internal/domain/orders_test.go
+++ b/internal/domain/orders_test.go
@@ -192,3 +192,62 @@
 	}
 	return count
 }
+
+// TestCancellationDuringConflict guards against a cancellation that is acknowledged and then dropped because another
+// process has written the record of the job.
+func TestCancellationDuringConflict(t *testing.T) {
+	for _, name := range []string{idempotentProfile, nonIdempotentProfile} {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 3, 2, func(t *testing.T, cluster *cluster) {
+				mustSubmit(t, cluster, "j", name, longInput)
+				time.Sleep(3 * time.Second)
+				owner := cluster.processes[0].service.currentOwner()
+				key := fleet.JobKey{Organisation: "org", Job: "j"}
+				written := make(chan struct{})
+				accepted, err := runOnLoop(t.Context(), owner, func() bool {
+					rewriteRecord(t, cluster.store, key)
+					return owner.cancel(key, func() { close(written) })
+				})
+				if err != nil || !accepted {
+					t.Fatalf("cancellation: %t, %v", accepted, err)
+				}
+				<-written
+				stored := storedRecord(t, cluster.store, key)
+				if !stored.CancelRequested && stored.State != StateEnded {
+					t.Errorf("the cancellation was acknowledged, but the stored record does not show it")
+				}
+				cluster.awaitOutcome("j", cancelled, 15*time.Second)
+			})
+		})
+	}
+}
+
+// storedRecord returns the record of a job in the store.
+func storedRecord(t *testing.T, store *memoryStore, key fleet.JobKey) *Record {
+	t.Helper()
+	store.mutex.Lock()
+	entry := store.entries[recordKey(key)]
+	store.mutex.Unlock()
+	record, err := decodeRecord(entry.Value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return record
+}
+
+// rewriteRecord writes the record of a job to the store as another process.
+func rewriteRecord(t *testing.T, store *memoryStore, key fleet.JobKey) {
+	t.Helper()
+	record := storedRecord(t, store, key)
+	record.WriteID = "other-1"
+	text, err := record.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.mutex.Lock()
+	revision := store.entries[recordKey(key)].Revision
+	store.mutex.Unlock()
+	if _, err := store.swap(recordKey(key), text, revision); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/domain/recover.go
+++ b/internal/domain/recover.go
@@ -31,7 +31,8 @@
 }
 
 // applyConflictingRecord replaces the state of a job by the record that another process wrote. The recovery of the job
-// starts, or the job is removed from the owner's state if it has ended.
+// starts, or the job is removed from the owner's state if it has ended. A cancellation that the record does not contain
+// is kept and written, because its caller may have been told that it is accepted.
 func (owner *owner) applyConflictingRecord(job *job, record *Record, revision platform.StoreRevision) {
 	owner.service.count("records_overtaken", 1)
 	owner.logger.Warn("job record changed by another process", "job", record.Job, "organisation", record.Organisation,
@@ -42,12 +43,17 @@
 	delete(owner.awaitingStore, record.Key())
 	job.uncertainWrites = make(map[string]bool)
 	job.revision = revision
+	cancelled := job.record.CancelRequested
 	job.record = *record
 	if record.State == StateEnded {
 		owner.removeJob(job)
 		return
 	}
 	owner.startRecovery(job)
+	if cancelled && !record.CancelRequested {
+		job.record.CancelRequested = true
+		owner.saveLater(job)
+	}
 }
 
 // releaseLeases stops renewing the leases of a job and adds them to the unmatched leases, which resolveUnmatched stops
