--- a/internal/worker/gang.go
+++ b/internal/worker/gang.go
@@ -220,20 +220,6 @@
 	})
 }
 
-// Checkpoint asks every member to save its progress and end. It does not retry: the caller stops the members that do
-// not respond. Syncs with the workers follow at the interval FastSync for the duration grace, to detect the ends early.
-func (manager *Manager) Checkpoint(ctx context.Context, members []Member, grace time.Duration) {
-	forEach(members, func(_ int, member Member) bool {
-		err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
-			response, err := client.Checkpoint(ctx,
-				&workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
-			return response.GetWorkerMs(), err
-		})
-		manager.SyncFast(member.Worker, time.Now().Add(grace))
-		return err == nil
-	})
-}
-
 // Throttle sets the share of processor time of every member, in percent. It does not retry.
 func (manager *Manager) Throttle(ctx context.Context, members []Member, percent int) {
 	forEach(members, func(_ int, member Member) bool {
--- a/internal/worker/stop.go
+++ b/internal/worker/stop.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 )
 
-// maxStopPause is the longest pause between two stops of one lease, before jitter. The first pause is Timing.FastSync,
-// and each pause is twice as long as the one before, so that workers that refuse every stop are not flooded with them.
-const maxStopPause = 2 * time.Second
-
 // refusalNoLease is the refusal of a worker that has no active lease with the given id.
 const refusalNoLease = "no_lease"
 
@@ -36,10 +31,7 @@
 	member  Member
 	// endsBy is the latest time at which the lease ends. It never decreases.
 	endsBy time.Time
-	// pause is the time between the last stop and the next.
-	pause time.Duration
-	// requestedAt is the time at which the last stop was sent; zero if none was.
-	requestedAt time.Time
+	retry  retry
 }
 
 // newStopping ends the renewals of a member's lease and returns its stop.
@@ -50,7 +42,7 @@
 	}
 	// From now on, no renewal may extend the lease.
 	manager.TrackWithoutRenewal(member, endsBy)
-	return &stopping{manager: manager, member: member, endsBy: endsBy, pause: manager.Timing.FastSync}
+	return &stopping{manager: manager, member: member, endsBy: endsBy, retry: newRetry(manager.Timing.FastSync)}
 }
 
 // run sends stops until the member has ended or ctx is done, and returns the final state of the member.
@@ -59,11 +51,11 @@
 		if state, ended := stopping.ended(); ended {
 			return state
 		}
-		if time.Since(stopping.requestedAt) >= stopping.pause {
+		if stopping.retry.due() {
 			stopping.request(ctx)
 			continue
 		}
-		_ = lifecycle.Sleep(ctx, stopping.pause/4)
+		_ = lifecycle.Sleep(ctx, stopping.retry.pause/4)
 	}
 	return workerv1.TaskState_TASK_STATE_UNSPECIFIED
 }
@@ -71,12 +63,8 @@
 // request sends a stop. If the worker says that no task runs under the lease, fast syncs follow, because only the
 // listing shows the end.
 func (stopping *stopping) request(ctx context.Context) {
-	if !stopping.requestedAt.IsZero() {
-		stopping.pause = min(2*stopping.pause, maxStopPause)
-		stopping.pause += time.Duration(rand.Int64N(int64(stopping.pause) / 4))
-	}
 	manager, member := stopping.manager, stopping.member
-	stopping.requestedAt = time.Now()
+	stopping.retry.sent()
 	confirmed := false
 	_ = manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
 		response, err := client.Stop(ctx,
@@ -110,7 +98,7 @@
 	case known:
 		return unreported, expired
 	default:
-		stopped := !stopping.requestedAt.IsZero() && session.syncedSince(stopping.requestedAt)
+		stopped := !stopping.retry.sentAt.IsZero() && session.syncedSince(stopping.retry.sentAt)
 		return unreported, stopped || expired
 	}
 }
