Renew a gang only when every member is listed as running

A gang was renewed from its probation of 3 s to the full lease of 15 s as soon as every worker had confirmed its start, and a lease that was listed as reserved, or not yet listed, counted as confirmed.

A renewal now requires that each member is listed as running or completed. Syncs with the workers of a gang on probation are fast until the first renewal has been sent, so that one lost sync does not end the gang.

TestFirstRenewalDespiteLostSync passed before and guards the fast syncs.

--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -63,6 +63,8 @@
 	missing bool
 	// lastRenewal is the time at which the last renewal was sent; zero if the next one is due.
 	lastRenewal time.Time
+	// renewed is true once a renewal was sent.
+	renewed bool
 	// endsBy is the latest time at which the lease ends unless it is renewed again.
 	endsBy time.Time
 }
@@ -103,12 +105,13 @@
 }
 
 // nextSyncDelay returns the delay before the next sync. It is shortened at random by up to a tenth of the interval, so
-// that the syncs with different workers do not run at the same time.
+// that the syncs with different workers do not run at the same time. A lease on probation is renewed by the sync after
+// the one that listed its task as running, so that syncs are fast until then.
 func (session *session) nextSyncDelay() time.Duration {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
 	delay := session.manager.Timing.SyncEvery
-	if time.Now().Before(session.fastUntil) {
+	if now := time.Now(); now.Before(session.fastUntil) || session.awaitsFirstRenewal(now) {
 		delay = session.manager.Timing.FastSync
 	}
 	return delay - time.Duration(rand.Int64N(int64(delay)/10+1))
@@ -152,7 +155,7 @@
 }
 
 // nextRequest builds a sync request with the renewals and acknowledgements that are due, and returns it with the link to
-// send it on. A lease is not renewed if the members of its gang were last confirmed to be active or completed more than
+// send it on. A lease is not renewed if the members of its gang were last confirmed to be running or completed more than
 // RenewEvery ago, or if the worker's clock is unknown. It updates the latest end of each renewed lease before the renewal
 // is sent, because the renewal may take effect even if the sync fails.
 func (session *session) nextRequest() (*link, *workerv1.SyncRequest) {
@@ -186,7 +189,7 @@
 			continue
 		}
 		request.Renew = append(request.Renew, string(id))
-		tracked.lastRenewal = now
+		tracked.lastRenewal, tracked.renewed = now, true
 		tracked.endsBy = later(tracked.endsBy, now.Add(timing.MaxLeaseLifetime()))
 	}
 	session.manager.count("worker_lease_renewals", int64(len(request.Renew)))
