Test the invariants of jobs under faults of orders

TestJobInvariantsUnderFaults knew workers that hang, crash or fail tasks, but none that answer and do not do what they are told. TestJobInvariantsUnderOrderFaults runs the same random scripts with workers that refuse orders (503, no_lease), confirm them without effect or handle them late, alone and in pairs with every other fault. Seeds and scripts of the existing test are unchanged.

--- a/internal/domain/stateful_test.go
+++ b/internal/domain/stateful_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -45,6 +46,27 @@
 			cluster.pickWorker(pick).Restart()
 		}
 	},
+	"orders_refused":  func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "unavailable_503") },
+	"orders_no_lease": func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "refused_no_lease") },
+	"orders_ignored":  func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "confirmed_only") },
+	"orders_late":     func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "late") },
+}
+
+// testedOrders are the orders that pickOrderFault picks from.
+var testedOrders = []standin.Order{
+	standin.OrderStop, standin.OrderStart, standin.OrderReserve, standin.OrderRelease, standin.OrderSync,
+}
+
+// pickOrderFault makes one worker handle one kind of order with a fault, or ends all such faults of the worker.
+func (cluster *cluster) pickOrderFault(on bool, pick int, name string) {
+	worker := cluster.pickWorker(pick / len(testedOrders))
+	if on {
+		worker.SetFault(testedOrders[pick%len(testedOrders)], badAnswers[name])
+		return
+	}
+	for _, order := range testedOrders {
+		worker.SetFault(order, nil)
+	}
 }
 
 func (cluster *cluster) pickWorker(pick int) *standin.Worker {
@@ -201,6 +223,9 @@
 		worker.FailEveryTask(false)
 		worker.Restart()
 	}
+	for _, order := range testedOrders {
+		oracle.setFault(order, nil)
+	}
 	time.Sleep(6 * time.Minute)
 }
 
@@ -289,33 +314,59 @@
 // firstSeed is the seed of the first pair of faults. The seed of each further pair is higher by one.
 const firstSeed = 20260731
 
-// TestJobInvariantsUnderFaults guards against broken invariants and wrong outcomes of jobs under every single fault
-// and every pair of faults. The runs that the stand-in workers recorded are the reference.
-func TestJobInvariantsUnderFaults(t *testing.T) {
-	setFlag(t, "rapid.checks", fmt.Sprint(scriptsPerPair))
-	setFlag(t, "rapid.nofailfile", "true")
-	setFlag(t, "rapid.shrinktime", "5s")
-	names := []string{
+// firstOrderSeed is the seed of the first pair with a fault of orders. The seed of each further pair is higher by one.
+const firstOrderSeed = 20261205
+
+// processFaults and orderFaults are the names of the faults of processes, workers and the store, and of the faults with
+// which workers handle orders.
+var (
+	processFaults = []string{
 		"owner_dies", "owner_paused", "partition", "worker_hangs", "worker_crashes", "worker_fails",
 		"store_down", "answers_lost", "all_restarted",
 	}
+	orderFaults = []string{"orders_refused", "orders_no_lease", "orders_ignored", "orders_late"}
+)
+
+// TestJobInvariantsUnderFaults guards against broken invariants and wrong outcomes of jobs under every single fault
+// and every pair of faults. The runs that the stand-in workers recorded are the reference.
+func TestJobInvariantsUnderFaults(t *testing.T) {
 	seed := firstSeed
-	for i, first := range names {
-		for _, second := range names[i:] {
-			setFlag(t, "rapid.seed", fmt.Sprint(seed))
+	for i, first := range processFaults {
+		for _, second := range processFaults[i:] {
+			checkPair(t, [2]string{first, second}, seed)
+			seed++
+		}
+	}
+}
+
+// TestJobInvariantsUnderOrderFaults guards against broken invariants and wrong outcomes of jobs while workers refuse
+// orders, confirm them without effect or handle them late, alone and together with every other fault.
+func TestJobInvariantsUnderOrderFaults(t *testing.T) {
+	seed := firstOrderSeed
+	for i, first := range orderFaults {
+		for _, second := range slices.Concat(orderFaults[i:], processFaults) {
+			checkPair(t, [2]string{first, second}, seed)
 			seed++
-			t.Run(first+"_and_"+second, func(t *testing.T) {
-				rapid.Check(t, func(draw *rapid.T) {
-					script := drawScript(draw, 14)
-					if violations := runScript(t, [2]string{first, second}, script); len(violations) > 0 {
-						draw.Fatalf("%s", strings.Join(violations, "\n"))
-					}
-				})
-			})
 		}
 	}
 }
 
+// checkPair runs scriptsPerPair random scripts with a pair of faults.
+func checkPair(t *testing.T, pair [2]string, seed int) {
+	setFlag(t, "rapid.checks", fmt.Sprint(scriptsPerPair))
+	setFlag(t, "rapid.nofailfile", "true")
+	setFlag(t, "rapid.shrinktime", "5s")
+	setFlag(t, "rapid.seed", fmt.Sprint(seed))
+	t.Run(pair[0]+"_and_"+pair[1], func(t *testing.T) {
+		rapid.Check(t, func(draw *rapid.T) {
+			script := drawScript(draw, 14)
+			if violations := runScript(t, pair, script); len(violations) > 0 {
+				draw.Fatalf("%s", strings.Join(violations, "\n"))
+			}
+		})
+	})
+}
+
 func setFlag(t *testing.T, name, value string) {
 	t.Helper()
 	if err := flag.Set(name, value); err != nil {
