--- a/internal/domain/orders_test.go
+++ b/internal/domain/orders_test.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
 
@@ -251,3 +252,54 @@
 		t.Fatal(err)
 	}
 }
+
+// TestUnknownRunIsStopped guards against a run that a worker lists and no job knows, and that is stopped once or not at
+// all.
+func TestUnknownRunIsStopped(t *testing.T) {
+	for name, fault := range badAnswers {
+		t.Run(name, func(t *testing.T) {
+			runCluster(t, 1, 1, func(t *testing.T, cluster *cluster) {
+				worker := cluster.workers["w0"]
+				worker.SetFault(standin.OrderStop, fault)
+				reserved, err := worker.Reserve(t.Context(), &workerv1.ReserveRequest{
+					LeaseId: "l", Accelerators: 4, TtlMs: 3_000,
+					Label: &workerv1.LeaseLabel{Organisation: "org", JobId: "nobody", Attempt: 1, GangMembers: 1},
+				})
+				if err != nil || !reserved.Granted {
+					t.Fatalf("reserve: %v, %v", reserved, err)
+				}
+				started, err := worker.Start(t.Context(),
+					&workerv1.StartRequest{LeaseId: "l", TtlMs: 120_000, Input: longInput.Encode()})
+				if err != nil || !started.Done {
+					t.Fatalf("start: %v, %v", started, err)
+				}
+				time.Sleep(30 * time.Second)
+				if sent := worker.Received(standin.OrderStop); sent < 8 || sent > 25 {
+					t.Errorf("%d stops in 30 s, want 8 to 25", sent)
+				}
+				worker.SetFault(standin.OrderStop, nil)
+				time.Sleep(8 * time.Second)
+				if running := cluster.running("nobody"); running != 0 {
+					t.Errorf("%d tasks run 8 s after the fault, want 0", running)
+				}
+			})
+		})
+	}
+}
+
+// TestRunsEndAfterShutdown guards against runs that go on once no process renews their leases.
+func TestRunsEndAfterShutdown(t *testing.T) {
+	runCluster(t, 3, 2, func(t *testing.T, cluster *cluster) {
+		mustSubmit(t, cluster, "j", nonIdempotentProfile, longInput)
+		time.Sleep(3 * time.Second)
+		cluster.setFault(standin.OrderStop, badAnswers["unavailable_503"])
+		cluster.cancel("j")
+		for _, process := range cluster.processes {
+			process.kill()
+		}
+		time.Sleep(cluster.processes[0].service.Timing.MaxLeaseLifetime())
+		if running := cluster.running("j"); running != 0 {
+			t.Errorf("%d tasks run after the shutdown and their leases, want 0", running)
+		}
+	})
+}
