Count and log refused stops

The logs and metrics of the engine did not tell a stop that was refused or not answered from one that was carried out. The first refusal of a stop has a line with its reason now, and worker_stops_refused counts the refusals.

TestStopIsSentUntilListedAsEnded checks the count for each kind of answer.

--- a/internal/worker/stop.go
+++ b/internal/worker/stop.go
@@ -64,16 +64,23 @@
 // listing shows the end.
 func (stopping *stopping) request(ctx context.Context) {
 	manager, member := stopping.manager, stopping.member
+	first := stopping.retry.sentAt.IsZero()
 	stopping.retry.sent()
-	confirmed := false
-	_ = manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
-		response, err := client.Stop(ctx,
+	var response *workerv1.CommandResponse
+	err := manager.send(ctx, member.Worker, func(ctx context.Context, client Client, expires int64) (int64, error) {
+		var err error
+		response, err = client.Stop(ctx,
 			&workerv1.CommandRequest{LeaseId: string(member.Lease), ExpiresWorkerMs: expires})
-		confirmed = response.GetDone() || response.GetRefusal() == refusalNoLease
 		return response.GetWorkerMs(), err
 	})
-	if confirmed {
+	if response.GetDone() || response.GetRefusal() == refusalNoLease {
 		manager.SyncFast(member.Worker, time.Now().Add(manager.Timing.SyncEvery))
+		return
+	}
+	manager.count("worker_stops_refused", 1)
+	if first {
+		manager.Logger.Warn("stop not confirmed, sent again until the end is listed", "worker", member.Worker,
+			"lease", member.Lease, "refusal", response.GetRefusal(), "error", err)
 	}
 }
 
--- a/internal/worker/stop_test.go
+++ b/internal/worker/stop_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
@@ -57,6 +58,10 @@
 				if sent := worker.Received(standin.OrderStop); sent < 3 || sent > 10 {
 					t.Errorf("%d stops in 8 s, want 3 to 10", sent)
 				}
+				refused := metrics.GetOrRegisterCounter("worker_stops_refused", tested.manager.Metrics).Count()
+				if confirmed := fault.Ignored || fault.Refusal == refusalNoLease; (refused > 0) == confirmed {
+					t.Errorf("%d stops counted as refused", refused)
+				}
 				worker.SetFault(standin.OrderStop, nil)
 				time.Sleep(4 * time.Second)
 				states, returned := result()
