Test the run of a worker that is listed again

TestRunOfRelistedWorkerIsStopped removes a worker from the list and lists it again a second later, with the run of an attempt that has ended meanwhile.

--- a/internal/domain/cluster_test.go
+++ b/internal/domain/cluster_test.go
@@ -143,7 +143,7 @@
 	service.View = peerView{process}
 	service.Store = &storeLink{store: cluster.store, process: process, healthy: true}
 	service.Configs = fixedConfig{testConfig()}
-	service.Inventory = func() fleet.Inventory { return cluster.fleet }
+	service.Inventory = cluster.inventory
 	service.NewScheduler = newFIFO
 	service.Retention = testRetention
 	service.Dial = func(machine fleet.Worker) worker.Client {
@@ -160,6 +160,19 @@
 	return process
 }
 
+func (cluster *cluster) inventory() fleet.Inventory {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	return cluster.fleet
+}
+
+// list replaces the list of workers.
+func (cluster *cluster) list(workers []fleet.Worker) {
+	cluster.mutex.Lock()
+	defer cluster.mutex.Unlock()
+	cluster.fleet = fleet.Inventory{Revision: cluster.fleet.Revision + 1, Workers: workers}
+}
+
 // visibleTo returns the live processes that a process sees, in the order in which they become owners.
 func (cluster *cluster) visibleTo(viewer *process) []*process {
 	cluster.mutex.Lock()
--- a/internal/domain/orders_test.go
+++ b/internal/domain/orders_test.go
@@ -183,6 +183,34 @@
 	}
 }
 
+// TestRunOfRelistedWorkerIsStopped guards against a run that goes on because its attempt ended while its worker was not
+// listed.
+func TestRunOfRelistedWorkerIsStopped(t *testing.T) {
+	for _, name := range []string{idempotentProfile, nonIdempotentProfile} {
+		t.Run(name, func(t *testing.T) {
+			// A worker that is listed again after its removal must be another one by the design, so that the
+			// invariants don't hold.
+			synctest.Test(t, func(t *testing.T) {
+				cluster := newCluster(t, 2, 1)
+				defer cluster.close()
+				time.Sleep(8 * time.Second)
+				mustSubmit(t, cluster, "j", name, longInput)
+				time.Sleep(1500 * time.Millisecond)
+				workers := cluster.inventory().Workers
+				cluster.list(workers[:1])
+				time.Sleep(time.Second)
+				cluster.list(workers)
+				time.Sleep(7 * time.Second)
+				for _, run := range cluster.record.Runs() {
+					if run.Attempt == 1 && run.End.IsZero() {
+						t.Errorf("a task of the ended attempt runs on %s 7 s after it was listed again", run.Worker)
+					}
+				}
+			})
+		})
+	}
+}
+
 // running returns the number of tasks of a job that run.
 func (cluster *cluster) running(id string) int {
 	count := 0
