Tell the owner of a job whose record a status request has read

A status request for a job that the copy of the records did not contain read the record from the store and added it to the copy. If that happened before the watch delivered the record, the watch found it there already and reported no change: the owner of the domain never loaded the job, which stayed queued until the owner changed.

Whoever adds a record to the copy now reports it to the owner, as the watch does.

--- a/internal/domain/caller_requests.go
+++ b/internal/domain/caller_requests.go
@@ -201,7 +201,10 @@
 	if err != nil {
 		return nil, err
 	}
-	service.cache.put(record, entry.Revision)
+	if service.cache.put(record, entry.Revision) {
+		// The watch reports a change only if the cache does not contain it yet.
+		service.recordChanged(key, record, entry.Revision)
+	}
 	return record, nil
 }
 
--- a/internal/domain/failure_test.go
+++ b/internal/domain/failure_test.go
@@ -337,3 +337,26 @@
 		cluster.awaitOutcome("after", completed, time.Minute)
 	})
 }
+
+// TestStatusBeforeWatch guards against a job that its owner never loads because a status request read the record before
+// the watch delivered it.
+func TestStatusBeforeWatch(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cluster *cluster) {
+		mustSubmit(t, cluster, "first", idempotentProfile, standin.Input{RunTimeMS: 1_000})
+		cluster.awaitOutcome("first", completed, time.Minute)
+		record := storedRecord(t, cluster.store, fleet.JobKey{Organisation: "org", Job: "first"})
+		created := Record{
+			WriteID: "other-1", Organisation: "org", Job: "second", Domain: record.Domain, Profile: record.Profile,
+			ConfigRevision: record.ConfigRevision, Input: record.Input, Submitted: time.Now(), State: StateQueued,
+		}
+		text, err := created.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		cluster.store.setWatchDelay(time.Second)
+		if _, err := cluster.store.swap(recordKey(created.Key()), text, 0); err != nil {
+			t.Fatal(err)
+		}
+		cluster.awaitOutcome("second", completed, time.Minute)
+	})
+}
--- a/internal/domain/fakes_test.go
+++ b/internal/domain/fakes_test.go
@@ -31,8 +31,9 @@
 	down     bool
 	// lostResponses is the number of coming writes whose responses are lost after the writes took effect.
 	lostResponses int
-	// delay is the time that a write takes.
-	delay time.Duration
+	// delay is the time that a write takes. watchDelay is the time after which watches deliver a change.
+	delay      time.Duration
+	watchDelay time.Duration
 }
 
 func newMemoryStore() *memoryStore {
@@ -65,6 +66,12 @@
 	store.delay = delay
 }
 
+func (store *memoryStore) setWatchDelay(delay time.Duration) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.watchDelay = delay
+}
+
 func (store *memoryStore) swap(
 	key string, value []byte, expected platform.StoreRevision,
 ) (platform.StoreRevision, error) {
@@ -194,8 +201,11 @@
 		store.mutex.Lock()
 		changes := store.log[position:]
 		position = len(store.log)
-		changed, down := store.changed, store.down
+		changed, down, delay := store.changed, store.down, store.watchDelay
 		store.mutex.Unlock()
+		if len(changes) > 0 {
+			time.Sleep(delay)
+		}
 		if link.awaitRunning(ctx) != nil {
 			return
 		}
