Poll a worker that does not answer and has no runs less and less often

An entry of another writer may name a worker that does not exist. Its address was polled every 150 ms for as long as the entry existed: 134 polls in 20 s by TestAbsentWorkerIsPolledRarely, which failed before. The pause doubles up to 1 s now, unless runs are placed on the worker, whose leases depend on the next answer.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -172,7 +172,7 @@
 const (
 	// drainSlack is how much longer than announced a draining worker is expected to stay.
 	drainSlack = time.Second
-	// restoredAssessment is the time in which a run of a former controller gets a measured speed: the first listings
+	// restoredAssessment is how long it takes to know the speed of a run of a former controller: the first listings
 	// of a worker are about a second apart. How long the run has worked before is not known.
 	restoredAssessment = 3 * time.Second
 )
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -20,6 +20,8 @@
 	wake   chan struct{}
 	// stops limits the stops to the worker while it refuses them.
 	stops *stopGate
+	// idleRetry is the latest pause of nextPollRetry; 0 after a response. Only the goroutine of run uses it.
+	idleRetry time.Duration
 
 	mu sync.Mutex
 	// clock is a lower bound of the worker's clock at the local time clockAt.
@@ -148,8 +150,10 @@
 	pollWait = time.Second
 	// pollTimeout is added to the wait of a poll to get its timeout.
 	pollTimeout = 600 * time.Millisecond
-	// pollRetry is the pause between polls while the worker is unresponsive.
-	pollRetry = 150 * time.Millisecond
+	// pollRetry is the pause between polls while the worker is unresponsive. For a worker without runs it doubles with each
+	// failure up to maxIdlePollRetry: an entry may name a worker that does not exist, for as long as the entry does.
+	pollRetry        = 150 * time.Millisecond
+	maxIdlePollRetry = time.Second
 	// minPollInterval is the minimum interval between polls whose listings contain no new end.
 	minPollInterval = 200 * time.Millisecond
 	// idleAcknowledgeDelay is the delay before the last ends of an idle worker are acknowledged, so that one call
@@ -216,6 +220,18 @@
 	}
 }
 
+// nextPollRetry returns the pause after a poll that failed.
+func (link *link) nextPollRetry() time.Duration {
+	link.mu.Lock()
+	occupied := link.duty.occupied
+	link.mu.Unlock()
+	if occupied {
+		return pollRetry
+	}
+	link.idleRetry = min(max(2*link.idleRetry, pollRetry), maxIdlePollRetry)
+	return link.idleRetry
+}
+
 func (link *link) poll(order PollOrder) {
 	sent := link.loop.clock()
 	ctx, cancel := context.WithTimeout(link.ctx, order.Wait+pollTimeout)
@@ -229,9 +245,10 @@
 	link.mu.Unlock()
 	if err != nil {
 		link.loop.post(func(loop *dispatcher) { loop.handlePollFailure(link, order.Token, err) })
-		_ = lifecycle.Sleep(link.ctx, pollRetry)
+		_ = lifecycle.Sleep(link.ctx, link.nextPollRetry())
 		return
 	}
+	link.idleRetry = 0
 	if listing.Incarnation != 0 && listing.Incarnation != link.entry.Incarnation {
 		// Another incarnation responded, so this link is no longer used. The dispatcher replaces and cancels it.
 		link.loop.post(func(loop *dispatcher) { loop.handlePollResponse(link, sent, listing) })
--- a/internal/control/odd_workers_test.go
+++ b/internal/control/odd_workers_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
@@ -49,3 +51,34 @@
 		_ = loop.group.Wait()
 	})
 }
+
+// absentWorkers answers no order, like the address of a worker that does not exist.
+type absentWorkers struct {
+	recordingWorkers
+	polls atomic.Int64
+}
+
+func (workers *absentWorkers) Poll(context.Context, WorkerEntry, PollOrder) (Listing, error) {
+	workers.polls.Add(1)
+	return Listing{}, errors.New("connection refused")
+}
+
+// TestAbsentWorkerIsPolledRarely guards against frequent polls, without an end, to the address in an entry of a worker that
+// does not exist.
+func TestAbsentWorkerIsPolledRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		orders := &absentWorkers{}
+		loop := newTestLoop(t, 1)
+		began := time.Now()
+		loop.Clock = func() time.Duration { return time.Since(began) }
+		loop.Workers = orders
+		worker := loop.workers["w0000"]
+		loop.connect(worker, worker.entry, 1, 0)
+		loop.pump(20 * time.Second)
+		if polls := orders.polls.Load(); polls < 10 || polls > 25 {
+			t.Errorf("%d polls in 20 s, want about one a second", polls)
+		}
+		worker.link.cancel()
+		_ = loop.group.Wait()
+	})
+}
