--- a/internal/control/throttle_test.go
+++ b/internal/control/throttle_test.go
@@ -60,11 +60,11 @@
 // after the delay late.
 type throttledWorkers struct {
 	recordingWorkers
-	lost  Share
-	late  time.Duration
-	calls int
+	lost Share
+	late time.Duration
 
 	mu          sync.Mutex
+	calls       int
 	incarnation progress.Incarnation
 	share       Share
 }
@@ -72,7 +72,9 @@
 func (workers *throttledWorkers) Throttle(
 	ctx context.Context, worker WorkerEntry, order ThrottleOrder,
 ) (WorkerClock, error) {
+	workers.mu.Lock()
 	workers.calls++
+	workers.mu.Unlock()
 	if order.Share != workers.lost {
 		workers.set(worker.Incarnation, order.Share)
 		return 0, nil
@@ -98,6 +100,12 @@
 	workers.share = fullShare
 }
 
+func (workers *throttledWorkers) callCount() int {
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	return workers.calls
+}
+
 func (workers *throttledWorkers) current() Share {
 	workers.mu.Lock()
 	defer workers.mu.Unlock()
@@ -167,8 +175,8 @@
 					t.Errorf("share %d at the end, want %d; %v on end at another share, want at most %v", workers.current(),
 						wanted, longest, mostWrong)
 				}
-				if workers.calls > test.mostCalls {
-					t.Errorf("%d orders, want at most %d", workers.calls, test.mostCalls)
+				if calls := workers.callCount(); calls > test.mostCalls {
+					t.Errorf("%d orders, want at most %d", calls, test.mostCalls)
 				}
 				worker.link.cancel()
 				_ = loop.group.Wait()
