Show five faults between restarts, contested entries and removal of workers

A start goes out through the link of the former incarnation while the next one's link waits, and while an entry is put off. An end whose record is not stored is acknowledged after its worker was removed and is listed again. Runs are never given up if a worker that does not answer names later incarnations in its entries. An entry that was put off counts as a new report when it is followed.

--- /dev/null
+++ b/internal/control/merged_test.go
@@ -0,0 +1,131 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// placeTasks submits a job with the given number of tasks and places them. It returns the job and the functions that are
+// due once the placement is stored, which send the starts.
+func (test *testLoop) placeTasks(count int) (*job, []func()) {
+	job := test.submit(1, workload.Step{
+		Tasks: count, Each: workload.Resources{Millicores: 1000, MemoryMiB: 100, Accelerators: 0}, LongRunning: true,
+	})
+	test.plan()
+	due := job.onStored
+	job.onStored = nil
+	return job, due
+}
+
+// TestNoStartToNextIncarnationWhileItsLinkWaits guards against a start that is sent through the link of the former
+// incarnation although another one has responded and its link waits for minRestartInterval. The deadline of the start is
+// by the clock of the former incarnation and can be far ahead of the new clock, so that the lease does not end.
+func TestNoStartToNextIncarnationWhileItsLinkWaits(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job, due := loop.placeTasks(1)
+		loop.restartedAt[worker.entry.ID] = loop.clock()
+		loop.handlePollResponse(worker.link, loop.clock(), Listing{Incarnation: 2, Clock: 1})
+		if _, waits := loop.restarts[worker.entry.ID]; !waits {
+			t.Fatal("the link of the next incarnation does not wait")
+		}
+		for _, send := range due {
+			send()
+		}
+		loop.pump(100 * time.Millisecond)
+		if len(fake.running) > 0 || job.record.Occurrences[0].Steps[0].Tasks[0].Phase == progress.Placed {
+			t.Errorf("the next incarnation runs %v, and the task is %v; want no start and the task waiting", fake.running,
+				job.record.Occurrences[0].Steps[0].Tasks[0].Phase)
+		}
+	})
+}
+
+// TestNoStartWhileEntryIsContested guards against a placed task that starts on a worker after an entry was put off which
+// says that the worker has restarted and drains.
+func TestNoStartWhileEntryIsContested(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		_, due := loop.placeTasks(1)
+		entry := worker.entry
+		entry.Incarnation++
+		entry.Draining, entry.Remaining = true, 8*time.Second
+		loop.observeWorker(entry)
+		if _, contested := loop.contested[entry.ID]; !contested {
+			t.Fatal("the entry was not put off")
+		}
+		for _, send := range due {
+			send()
+		}
+		loop.pump(100 * time.Millisecond)
+		if len(fake.running) > 0 {
+			t.Errorf("the worker runs %v, want no start", fake.running)
+		}
+	})
+}
+
+// TestUnstoredEndAfterRemoval guards against the acknowledgement of an end that is not stored, because its worker was
+// removed, is listed again in the same incarnation and lists the end again. The next controller would start its task
+// again.
+func TestUnstoredEndAfterRemoval(t *testing.T) {
+	withPlacedTask(t, func(loop *testLoop, _ *recordingWorkers, worker *worker, job *job) {
+		job.onStored = nil
+		ends := []RunEnd{{Number: 1, Task: workload.TaskID{Job: job.ID}, Run: 1, How: progress.RunDone}}
+		loop.processEnds(worker, ends)
+		entry := worker.entry
+		loop.markUnlisted(entry.ID)
+		worker.unresponsive = true
+		loop.sweep()
+		loop.observeWorker(entry)
+		returned := loop.workers[entry.ID]
+		loop.processEnds(returned, ends)
+		if returned.acknowledgeable() != 0 {
+			t.Errorf("ends up to %d can be acknowledged before they are stored, want none", returned.acknowledgeable())
+		}
+		returned.link.cancel()
+	})
+}
+
+// TestRunsOfWorkerThatRestartsAgainAndAgain guards against runs that are never given up, because the worker does not
+// answer and each of its entries names a later incarnation.
+func TestRunsOfWorkerThatRestartsAgainAndAgain(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		loop.FormerLeaseLimit = 8 * time.Second
+		loop.startTasks(1)
+		loop.pump(time.Second)
+		loop.Workers = &absentWorkers{}
+		for range 20 {
+			loop.pump(2 * time.Second)
+			entry := worker.entry
+			entry.Incarnation++
+			entry.ReadAt = time.Now()
+			loop.observeWorker(entry)
+		}
+		if len(worker.runs) > 0 {
+			t.Errorf("%d runs are placed on a worker that has not answered for 40 s, want none", len(worker.runs))
+		}
+	})
+}
+
+// TestReportOfContestedEntryIsAsOldAsItWasRead guards against starts by a capacity that is no longer known, because the
+// entry of the worker was put off for longer than MaxReportAge.
+func TestReportOfContestedEntryIsAsOldAsItWasRead(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		loop.MaxReportAge = 3 * time.Second
+		entry := worker.entry
+		entry.Address, entry.Revision, entry.ReadAt = "other", 9, time.Now()
+		loop.observeWorker(entry)
+		loop.pump(10 * time.Second)
+		if _, contested := loop.contested[entry.ID]; !contested {
+			t.Fatal("the entry was not put off")
+		}
+		worker.unresponsive = true
+		loop.sweep()
+		if worker.link.entry.Address != "other" {
+			t.Fatal("the entry was not followed")
+		}
+		if loop.capacityKnown(worker) {
+			t.Error("the capacity counts as known by a report that was read 10 s ago, want unknown after 3 s")
+		}
+	})
+}
