Send no start while the incarnation of its worker is uncertain

Placed tasks started through the link of the former incarnation although another one had responded, and although an entry that was put off said that the worker had restarted or drains. Such a start has a deadline by the former clock, and workers keep the latest deadline that they received.

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -266,6 +266,12 @@
 		loop.endRun(placed, progress.RunLost, "", "not started")
 		return
 	}
+	// While the replacement of the link waits, a start would reach the next incarnation with a deadline by the clock of the
+	// former one, and its lease might not end.
+	if _, contested := loop.contested[worker.entry.ID]; contested || !worker.settled {
+		loop.endRun(placed, progress.RunLost, "", "not started: the incarnation of the worker is uncertain")
+		return
+	}
 	if len(worker.unexpected) > 0 || loop.unexpectedRuns[placed.task] > 0 {
 		loop.endRun(placed, progress.RunLost, "", "not started: a run that is not placed has not ended")
 		return
