Keep a worker until the records that count its ends are stored

A worker that was removed before and came back listed the end again. Nothing held the acknowledgement back then, and the next controller could start a task again that was done.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -331,7 +331,7 @@
 		if worker.occupied() && loop.leasesExpired(worker) {
 			loop.expireRuns(worker)
 		}
-		if worker.link != nil && !worker.listed && !worker.occupied() && worker.unresponsive {
+		if worker.link != nil && !worker.listed && !worker.occupied() && worker.unresponsive && !worker.awaitsStorage() {
 			loop.removeWorker(worker)
 		}
 	}
