--- a/internal/control/report.go
+++ b/internal/control/report.go
@@ -27,6 +27,10 @@
 		return
 	}
 	worker.report.revision, worker.report.readAt = worker.entry.Revision, loop.clock()
+	if read := worker.entry.ReadAt; !read.IsZero() {
+		// An entry that was put off may have been read long ago.
+		worker.report.readAt -= time.Since(read)
+	}
 	if first && loop.ReportsOutdated() {
 		worker.report.readAt -= loop.MaxReportAge
 	}
