Give up the runs of a silent worker whose entries name later incarnations

Each replacement of the link began the wait for former leases anew, so that the runs never ended. A link without a response grants no lease now and passes on the time until which it waited.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -286,6 +286,12 @@
 // stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
 func (loop *dispatcher) replaceLink(worker *worker, entry WorkerEntry) {
 	token := worker.link.token + 1
+	formerLeasesUntil := loop.clock() + loop.FormerLeaseLimit
+	if !worker.link.hasResponded() {
+		// The link has granted no lease. Otherwise the runs of a worker that does not answer would never be given up while its
+		// entries name one incarnation after the other.
+		formerLeasesUntil = worker.link.formerLeasesUntil
+	}
 	if entry.Incarnation > worker.entry.Incarnation {
 		worker.markFailing(loop.clock(), false)
 		loop.attributeCrash(worker, true)
@@ -293,7 +299,7 @@
 	loop.Logger.Info("worker restarted", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
 		"former", int64(worker.entry.Incarnation), "runs", len(worker.runs))
 	worker.link.cancel()
-	loop.connect(worker, entry, token, loop.clock()+loop.FormerLeaseLimit)
+	loop.connect(worker, entry, token, formerLeasesUntil)
 	for _, run := range worker.runs {
 		if !run.startSent {
 			loop.endRun(run, progress.RunLost, "", "not started: worker restarted")
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -138,6 +138,13 @@
 	}
 }
 
+// hasResponded reports whether the worker has responded to a poll with the token of the link. No lease is granted before.
+func (link *link) hasResponded() bool {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return link.responded
+}
+
 func (link *link) notify() {
 	select {
 	case link.wake <- struct{}{}:
@@ -194,7 +201,8 @@
 func (link *link) nextOrder() PollOrder {
 	link.mu.Lock()
 	order := PollOrder{Token: link.token}
-	extendLeases := link.duty.extendLeases && !link.unresponsive
+	// The worker's clock is not known before the first response, see connect, so that a deadline would be long past.
+	extendLeases := link.duty.extendLeases && !link.unresponsive && link.responded
 	if link.duty.occupied && !link.unresponsive && link.responded {
 		order.Wait = pollWait
 		if link.duty.frequent {
