--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -229,7 +229,9 @@
 
 // awaitsStorage reports whether the record that counts an end of the worker is not stored yet. If the worker were removed
 // and came back, it would list the end again, and the end would be acknowledged too early.
-func (worker *worker) awaitsStorage() bool { return len(worker.unstoredEnds) > len(worker.withheldEnds) }
+func (worker *worker) awaitsStorage() bool {
+	return len(worker.unstoredEnds) > len(worker.withheldEnds)
+}
 
 // onTrial reports whether the worker has a run that shows whether it is sound again.
 func (worker *worker) onTrial() bool {
