--- a/internal/control/merged_test.go
+++ b/internal/control/merged_test.go
@@ -129,3 +129,81 @@
 		}
 	})
 }
+
+// TestNoStartAttemptWhileLinkWaits guards against a further attempt of a start that reaches the next incarnation of its
+// worker with a deadline by the clock of the former one, while the replacement of the link waits.
+func TestNoStartAttemptWhileLinkWaits(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		fake.set(func() { fake.loseStarts, fake.lateStart = true, time.Hour })
+		loop.startTasks(1)
+		loop.pump(100 * time.Millisecond)
+		loop.restartedAt[worker.entry.ID] = loop.clock()
+		loop.handlePollResponse(worker.link, loop.clock(), Listing{Incarnation: 2, Clock: 1})
+		fake.set(func() { fake.loseStarts = false })
+		loop.pump(900 * time.Millisecond)
+		if len(fake.running) > 0 {
+			t.Errorf("the next incarnation runs %v, want no start", fake.running)
+		}
+	})
+}
+
+// TestStopsAndRunsAfterLinkWaited guards against runs that are left on a worker, or whose end is not noticed, because the
+// worker restarted while their job was being cancelled and the replacement of its link waited.
+func TestStopsAndRunsAfterLinkWaited(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		job := loop.startTasks(3)
+		loop.pump(time.Second)
+		fake.set(func() { fake.refuseStops = true })
+		loop.stopJob(job)
+		loop.pump(100 * time.Millisecond)
+		loop.restartedAt[worker.entry.ID] = loop.clock()
+		loop.handlePollResponse(worker.link, loop.clock(), Listing{Incarnation: 2, Clock: 1})
+		fake.set(func() { fake.refuseStops = false })
+		loop.pump(3500 * time.Millisecond)
+		if len(fake.running) > 0 || len(worker.runs) > 0 || worker.link.entry.Incarnation != 2 {
+			t.Errorf("the worker runs %v, %d runs are placed there, and its incarnation is %d; want none and 2", fake.running,
+				len(worker.runs), worker.link.entry.Incarnation)
+		}
+	})
+}
+
+// TestDrainingWorkerWithContestedEntry guards against starts and a missing evacuation on an idle worker that restarts and
+// drains while the replacement of its link waits.
+func TestDrainingWorkerWithContestedEntry(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		loop.restartedAt[worker.entry.ID] = loop.clock()
+		loop.handlePollResponse(worker.link, loop.clock(), Listing{Incarnation: 2, Clock: 1})
+		entry := worker.entry
+		entry.Incarnation, entry.Draining, entry.Remaining, entry.ReadAt = 2, true, 8*time.Second, time.Now()
+		loop.observeWorker(entry)
+		loop.pump(2 * time.Second)
+		if !worker.entry.Draining || !worker.listed || worker.link.entry.Incarnation != 2 {
+			t.Errorf("2 s after its entry the worker drains: %t, is listed: %t, and has incarnation %d; want true, true, 2",
+				worker.entry.Draining, worker.listed, worker.link.entry.Incarnation)
+		}
+	})
+}
+
+// TestEntryOfIdleWorkerIsFollowedSoon guards against a worker that gets no task for long after it comes back under a new
+// incarnation or address, because its entry was put off or the pauses between polls have grown.
+func TestEntryOfIdleWorkerIsFollowedSoon(t *testing.T) {
+	for _, change := range []func(*WorkerEntry){
+		func(entry *WorkerEntry) { entry.Incarnation++ },
+		func(entry *WorkerEntry) { entry.Address = "other" },
+	} {
+		withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+			loop.Workers = &absentWorkers{}
+			worker.link.check()
+			loop.pump(10 * time.Second)
+			loop.Workers = fake
+			entry := worker.entry
+			change(&entry)
+			entry.ReadAt = time.Now()
+			loop.observeWorker(entry)
+			loop.pump(1500 * time.Millisecond)
+			if !worker.usable(loop.clock()) {
+				t.Error("the worker is not usable 1.5 s after its entry, want usable")
+			}
+		})
+	}
+}
