--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -262,6 +262,8 @@
 	if last, ok := loop.restartedAt[entry.ID]; ok && loop.clock()-last < minRestartInterval {
 		loop.restarts[entry.ID] = restart{link: worker.link, entry: entry}
 		worker.settled = false
+		// Further attempts of its orders would reach the next incarnation.
+		worker.link.cancel()
 		return
 	}
 	loop.restartedAt[entry.ID] = loop.clock()
--- a/internal/control/merged_test.go
+++ b/internal/control/merged_test.go
@@ -207,3 +207,25 @@
 		})
 	}
 }
+
+// TestRestoredRunKeepsItsLease guards against the loss of a sound run of a former controller, because the clock of its
+// worker is not known before the first response.
+func TestRestoredRunKeepsItsLease(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		loop.startTasks(1)
+		loop.pump(time.Second)
+		loop.restorePlaced(worker)
+		fake.set(func() {
+			fake.began = fake.began.Add(-time.Hour)
+			fake.leaseUntil = fake.clock() + WorkerClock(500*time.Millisecond)
+		})
+		loop.term.Clock = loop.Clock
+		entry := worker.entry
+		entry.ReadAt = time.Now()
+		loop.observeWorker(entry)
+		loop.pump(10 * time.Second)
+		if len(fake.running) != 1 || len(worker.runs) != 1 {
+			t.Errorf("the worker runs %v, and %d runs are placed there; want one", fake.running, len(worker.runs))
+		}
+	})
+}
