--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -262,6 +262,8 @@
 	if last, ok := loop.restartedAt[entry.ID]; ok && loop.clock()-last < minRestartInterval {
 		loop.restarts[entry.ID] = restart{link: worker.link, entry: entry}
 		worker.settled = false
+		// Further attempts of its orders would reach the next incarnation.
+		worker.link.cancel()
 		return
 	}
 	loop.restartedAt[entry.ID] = loop.clock()
@@ -286,6 +288,10 @@
 // stops are sent to the new incarnation too. Runs whose start was not sent are ended at once.
 func (loop *dispatcher) replaceLink(worker *worker, entry WorkerEntry) {
 	token := worker.link.token + 1
+	formerLeasesUntil, responded := worker.link.formerLeases()
+	if responded {
+		formerLeasesUntil = loop.clock() + loop.FormerLeaseLimit
+	}
 	if entry.Incarnation > worker.entry.Incarnation {
 		worker.markFailing(loop.clock(), false)
 		loop.attributeCrash(worker, true)
@@ -293,7 +299,7 @@
 	loop.Logger.Info("worker restarted", "worker", string(entry.ID), "incarnation", int64(entry.Incarnation),
 		"former", int64(worker.entry.Incarnation), "runs", len(worker.runs))
 	worker.link.cancel()
-	loop.connect(worker, entry, token, loop.clock()+loop.FormerLeaseLimit)
+	loop.connect(worker, entry, token, formerLeasesUntil)
 	for _, run := range worker.runs {
 		if !run.startSent {
 			loop.endRun(run, progress.RunLost, "", "not started: worker restarted")
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -138,6 +138,15 @@
 	}
 }
 
+// formerLeases returns the local time until which leases that this link did not grant may last, and whether the worker has
+// responded to a poll of the link. Before that the link grants no lease, so that the time holds for the next link too.
+// Otherwise the runs of a silent worker would never be given up while its entries name one incarnation after the other.
+func (link *link) formerLeases() (until time.Duration, responded bool) {
+	link.mu.Lock()
+	defer link.mu.Unlock()
+	return link.formerLeasesUntil, link.responded
+}
+
 func (link *link) notify() {
 	select {
 	case link.wake <- struct{}{}:
@@ -194,7 +203,8 @@
 func (link *link) nextOrder() PollOrder {
 	link.mu.Lock()
 	order := PollOrder{Token: link.token}
-	extendLeases := link.duty.extendLeases && !link.unresponsive
+	// The worker's clock is not known before the first response, see connect, so that a deadline would be long past.
+	extendLeases := link.duty.extendLeases && !link.unresponsive && link.responded
 	if link.duty.occupied && !link.unresponsive && link.responded {
 		order.Wait = pollWait
 		if link.duty.frequent {
