--- a/internal/control/merged_test.go
+++ b/internal/control/merged_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
@@ -229,3 +230,76 @@
 		}
 	})
 }
+
+// TestUnexpectedRunOnRestartedWorker guards against a worker that stays out of use, and a task that never starts again,
+// because the worker restarted while it refused the stop of an unexpected run.
+func TestUnexpectedRunOnRestartedWorker(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+			job := loop.startTasks(1)
+			loop.pump(time.Second)
+			fake.set(func() { fake.refuseStops = true })
+			loop.loseTrack(worker, job)
+			loop.pump(3 * time.Second)
+			if len(worker.unexpected) != 1 {
+				t.Fatalf("%d unexpected runs, want 1", len(worker.unexpected))
+			}
+			fake.set(func() { fake.running, fake.ends, fake.refuseStops = nil, nil, false })
+			worker.unresponsive = silent
+			entry := worker.entry
+			entry.Incarnation, entry.ReadAt = entry.Incarnation+1, time.Now()
+			loop.observeWorker(entry)
+			loop.pump(time.Second)
+			if !silent {
+				loop.handlePollResponse(worker.link, loop.clock(), Listing{Incarnation: entry.Incarnation, Clock: 1})
+			}
+			loop.pump(1500 * time.Millisecond)
+			if len(worker.unexpected) > 0 || len(loop.unexpectedRuns) > 0 || !worker.usable(loop.clock()) {
+				t.Errorf("silent: %t: %d unexpected runs, %d of tasks, worker is usable: %t; want 0, 0, true", silent,
+					len(worker.unexpected), len(loop.unexpectedRuns), worker.usable(loop.clock()))
+			}
+		})
+	}
+}
+
+// TestWithheldEndAtNextAddress guards against the acknowledgement of a withheld end through the link to another address
+// of the same incarnation, and against one that is withheld in the next incarnation, whose ends have other numbers.
+func TestWithheldEndAtNextAddress(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+			worker.lastEnd = 1
+			worker.withhold(1)
+			worker.unresponsive = true
+			entry := worker.entry
+			entry.Address, entry.ReadAt = "other", time.Now()
+			if restarted {
+				entry.Incarnation++
+			}
+			loop.observeWorker(entry)
+			if acknowledgeable := worker.acknowledgeable(); acknowledgeable != 0 || len(worker.withheldEnds) > 0 == restarted {
+				t.Errorf("restarted: %t: ends up to %d can be acknowledged and %d are withheld", restarted, acknowledgeable,
+					len(worker.withheldEnds))
+			}
+		})
+	}
+}
+
+// TestClaimOnRemovedWorker guards against starts beyond the capacity of a worker that was removed and is listed again
+// before the next plan, because the drop of a claim frees capacity there that was reserved on the former state.
+func TestClaimOnRemovedWorker(t *testing.T) {
+	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
+		each := workload.Resources{Accelerators: 8}
+		loop.claims[workload.TaskID{Job: "claiming"}] = &claim{places: []fleet.WorkerID{worker.entry.ID}, each: each}
+		worker.reserved = each
+		loop.markUnlisted(worker.entry.ID)
+		worker.unresponsive = true
+		loop.sweep()
+		loop.observeWorker(worker.entry)
+		loop.plan()
+		returned := loop.workers[worker.entry.ID]
+		if returned == worker || returned.reserved != (workload.Resources{}) {
+			t.Errorf("%v is reserved on the worker that was removed and is back, want nothing", returned.reserved)
+		}
+		returned.link.cancel()
+	})
+}
