--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -352,6 +353,12 @@
 
 func (loop *dispatcher) removeWorker(worker *worker) {
 	worker.link.cancel()
+	// If the worker is listed again before the next plan, its new state has nothing reserved for these claims.
+	for key, claim := range loop.claims {
+		if slices.Contains(claim.places, worker.entry.ID) {
+			loop.dropClaim(key)
+		}
+	}
 	loop.formerTokens[worker.entry.ID] = worker.link.token
 	delete(loop.workers, worker.entry.ID)
 	delete(loop.contested, worker.entry.ID)
