--- a/internal/control/merged_test.go
+++ b/internal/control/merged_test.go
@@ -1,9 +1,13 @@
 package control
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
@@ -87,14 +91,29 @@
 	})
 }
 
+// silencedWorker answers no poll while silent is set.
+type silencedWorker struct {
+	*fakeWorker
+	silent atomic.Bool
+}
+
+func (worker *silencedWorker) Poll(ctx context.Context, entry WorkerEntry, order PollOrder) (Listing, error) {
+	if worker.silent.Load() {
+		return Listing{}, errors.New("connection refused")
+	}
+	return worker.fakeWorker.Poll(ctx, entry, order)
+}
+
 // TestRunsOfWorkerThatRestartsAgainAndAgain guards against runs that are never given up, because the worker does not
 // answer and each of its entries names a later incarnation.
 func TestRunsOfWorkerThatRestartsAgainAndAgain(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		loop.FormerLeaseLimit = 8 * time.Second
+		silenced := &silencedWorker{fakeWorker: fake}
+		loop.Workers = silenced
 		loop.startTasks(1)
 		loop.pump(time.Second)
-		loop.Workers = &absentWorkers{}
+		silenced.silent.Store(true)
 		for range 20 {
 			loop.pump(2 * time.Second)
 			entry := worker.entry
@@ -193,10 +212,12 @@
 		func(entry *WorkerEntry) { entry.Address = "other" },
 	} {
 		withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
-			loop.Workers = &absentWorkers{}
+			silenced := &silencedWorker{fakeWorker: fake}
+			loop.Workers = silenced
+			silenced.silent.Store(true)
 			worker.link.check()
 			loop.pump(10 * time.Second)
-			loop.Workers = fake
+			silenced.silent.Store(false)
 			entry := worker.entry
 			change(&entry)
 			entry.ReadAt = time.Now()
