Move the lease table of a session into a file of its own

session.go keeps the type, its constructor, the syncs and the clock; leases.go has trackedLease and the methods of the lease table. Declarations are moved unchanged; two comments are wrapped at 120 columns.

--- a/internal/worker/session.go
+++ b/internal/worker/session.go
@@ -53,22 +53,6 @@
 	fastUntil time.Time
 }
 
-// trackedLease is the state of a lease that this process has requested or taken over.
-type trackedLease struct {
-	// group holds the members of the gang whose leases are renewed together. It is nil while this lease is not renewed.
-	group *renewalGroup
-	// renewedSince is the time at which the renewals of the lease started. The worker had granted the lease before.
-	renewedSince time.Time
-	// missing is true once findMissing has found that the worker no longer has the lease.
-	missing bool
-	// lastRenewal is the time at which the last renewal was sent; zero if the next one is due.
-	lastRenewal time.Time
-	// renewed is true once a renewal was sent.
-	renewed bool
-	// endsBy is the latest time at which the lease ends unless it is renewed again.
-	endsBy time.Time
-}
-
 // link is the connection to one address of a worker.
 type link struct{ client Client }
 
@@ -154,10 +138,10 @@
 	session.requestSync()
 }
 
-// nextRequest builds a sync request with the renewals and acknowledgements that are due, and returns it with the link to
-// send it on. A lease is not renewed if the members of its gang were last confirmed to be running or completed more than
-// RenewEvery ago, or if the worker's clock is unknown. It updates the latest end of each renewed lease before the renewal
-// is sent, because the renewal may take effect even if the sync fails.
+// nextRequest builds a sync request with the renewals and acknowledgements that are due, and returns it with the link
+// to send it on. A lease is not renewed if the members of its gang were last confirmed to be running or completed more
+// than RenewEvery ago, or if the worker's clock is unknown. It updates the latest end of each renewed lease before the
+// renewal is sent, because the renewal may take effect even if the sync fails.
 func (session *session) nextRequest() (*link, *workerv1.SyncRequest) {
 	timing := session.manager.Timing
 	now := time.Now()
@@ -286,73 +270,6 @@
 	return report, false
 }
 
-// recordLease stores a reported lease in the lease table.
-func (session *session) recordLease(state *workerv1.LeaseState) Lease {
-	lease := Lease{
-		ID:     fleet.LeaseID(state.LeaseId),
-		Worker: session.machine.ID,
-		Key: fleet.JobKey{
-			Organisation: fleet.OrganisationID(state.Label.GetOrganisation()),
-			Job:          fleet.JobID(state.Label.GetJobId()),
-		},
-		Label:        state.Label,
-		State:        state.State,
-		Accelerators: fleet.Accelerators(state.Accelerators),
-		Used:         fleet.AcceleratorTime(time.Duration(state.UsedMs) * time.Millisecond),
-	}
-	session.leases[lease.ID] = lease
-	session.manager.addToIndex(lease)
-	return lease
-}
-
-// removeUnseen removes the leases that a full sync did not contain from the lease table. It returns the removed leases
-// that the table showed as active, because the worker has not reported their final states.
-func (session *session) removeUnseen(seen map[fleet.LeaseID]bool) []fleet.LeaseID {
-	var missing []fleet.LeaseID
-	for id, lease := range session.leases {
-		if seen[id] {
-			continue
-		}
-		delete(session.leases, id)
-		session.manager.removeFromIndex(lease)
-		if lease.Active() {
-			missing = append(missing, id)
-		}
-	}
-	return missing
-}
-
-// findMissing returns the renewed leases that the worker granted but no longer reports, and marks them as missing. This
-// happens when a worker restarts between granting a lease and the first sync that would have reported it.
-func (session *session) findMissing(startedAt time.Time) []fleet.LeaseID {
-	var missing []fleet.LeaseID
-	for id, tracked := range session.tracked {
-		if _, known := session.leases[id]; known || tracked.group == nil || tracked.missing ||
-			!tracked.renewedSince.Before(startedAt) {
-			continue
-		}
-		tracked.missing = true
-		missing = append(missing, id)
-	}
-	return missing
-}
-
-func (session *session) removeAll() []fleet.LeaseID {
-	return session.removeUnseen(nil)
-}
-
-// freeMismatch returns the worker's free accelerators minus those that are free according to the lease table. The
-// difference is constant as long as the lease table contains every change of the worker's leases.
-func (session *session) freeMismatch(response *workerv1.SyncResponse) fleet.Accelerators {
-	free := session.machine.Accelerators
-	for _, lease := range session.leases {
-		if lease.Active() {
-			free -= lease.Accelerators
-		}
-	}
-	return fleet.Accelerators(response.FreeAccelerators) - free
-}
-
 // terminate removes all leases from the lease table. It returns a report of the worker as lost and of the active leases
 // as gone.
 func (session *session) terminate() Report {
@@ -361,13 +278,6 @@
 	return Report{Worker: session.machine.ID, Lost: true, Gone: session.removeAll()}
 }
 
-func (session *session) lease(id fleet.LeaseID) (Lease, bool) {
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	lease, ok := session.leases[id]
-	return lease, ok
-}
-
 func (session *session) syncedSince(moment time.Time) bool {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
@@ -386,46 +296,6 @@
 	return session.lost
 }
 
-// track records the latest end of a lease, unless a later end is recorded already. From then on the lease is renewed
-// together with the other leases of group, or not renewed if group is nil.
-func (session *session) track(id fleet.LeaseID, endsBy time.Time, group *renewalGroup) {
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	tracked, ok := session.tracked[id]
-	if !ok {
-		tracked = &trackedLease{}
-		session.tracked[id] = tracked
-	}
-	if group != nil {
-		tracked.renewedSince = time.Now()
-	}
-	tracked.group = group
-	tracked.endsBy = later(tracked.endsBy, endsBy)
-}
-
-func (session *session) endsBy(id fleet.LeaseID) (time.Time, bool) {
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	tracked, ok := session.tracked[id]
-	if !ok {
-		return time.Time{}, false
-	}
-	return tracked.endsBy, true
-}
-
-func (session *session) forget(id fleet.LeaseID) {
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	delete(session.tracked, id)
-	lease, ok := session.leases[id]
-	if !ok || lease.Active() {
-		return
-	}
-	session.unacknowledged = append(session.unacknowledged, string(id))
-	delete(session.leases, id)
-	session.manager.removeFromIndex(lease)
-}
-
 func (session *session) syncFast(until time.Time) {
 	session.mutex.Lock()
 	session.fastUntil = later(session.fastUntil, until)
@@ -440,18 +310,6 @@
 	}
 }
 
-func (session *session) activeLeases() []Lease {
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	var leases []Lease
-	for _, lease := range session.leases {
-		if lease.Active() {
-			leases = append(leases, lease)
-		}
-	}
-	return leases
-}
-
 // commandLink returns the link for a command and the expiry of a command that is sent now.
 func (session *session) commandLink() (*link, int64, bool) {
 	session.mutex.Lock()
@@ -462,8 +320,8 @@
 
 // expiry returns the time on the worker's clock after which a command sent now has no effect. The worker's clock is
 // estimated from the last reading, which was taken before its response arrived here. The estimate is therefore never
-// ahead of the clock, apart from drift, and the expiry is never too late. expiry returns false if there is no reading or
-// the last one is older than maxClockReadingAge. The caller holds the lock.
+// ahead of the clock, apart from drift, and the expiry is never too late. expiry returns false if there is no reading
+// or the last one is older than maxClockReadingAge. The caller holds the lock.
 func (session *session) expiry() (int64, bool) {
 	age := time.Since(session.clockReadAt)
 	if session.clockReadAt.IsZero() || age > maxClockReadingAge {
