--- a/internal/domain/orders_test.go
+++ b/internal/domain/orders_test.go
@@ -1,31 +1,17 @@
 package domain
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"connectrpc.com/connect"
-
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
 
-// badAnswers are the ways in which a worker does not carry out an order.
-var badAnswers = map[string]*standin.Fault{
-	"unavailable_503":     {Err: connect.NewError(connect.CodeUnavailable, errors.New("unhealthy"))},
-	"too_many_429":        {Err: connect.NewError(connect.CodeResourceExhausted, errors.New("busy"))},
-	"refused_unavailable": {Refusal: "unavailable"},
-	"refused_expired":     {Refusal: "expired"},
-	"refused_no_lease":    {Refusal: "no_lease"},
-	"confirmed_only":      {Ignored: true},
-	"late":                {Delay: 3 * time.Second},
-}
-
 // setFault sets a fault of all workers; nil ends it.
 func (cluster *cluster) setFault(order standin.Order, fault *standin.Fault) {
 	for _, worker := range cluster.workers {
@@ -45,7 +31,7 @@
 // TestCancellationUntilStopped guards against a cancelled job that is reported as cancelled, or whose capacity is given
 // away, while a task of it runs because its worker did not carry out the stop.
 func TestCancellationUntilStopped(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		for _, ownerDies := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s_%t", name, ownerDies), func(t *testing.T) {
 				runCluster(t, 3, 2, func(t *testing.T, cluster *cluster) {
@@ -75,7 +61,7 @@
 // against a flood of attempts while every worker refuses.
 func TestRefusedStarts(t *testing.T) {
 	for _, order := range []standin.Order{standin.OrderReserve, standin.OrderStart} {
-		for name, fault := range badAnswers {
+		for name, fault := range standin.OrderFaults() {
 			if order == standin.OrderReserve && fault.Ignored {
 				continue
 			}
@@ -102,7 +88,7 @@
 
 // TestOneWorkerRefusesStarts guards against a flood of attempts, each of which runs partly, while one worker refuses.
 func TestOneWorkerRefusesStarts(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		t.Run(name, func(t *testing.T) {
 			runCluster(t, 2, 1, func(t *testing.T, cluster *cluster) {
 				cluster.workers["w0"].SetFault(standin.OrderStart, fault)
@@ -131,7 +117,7 @@
 	for _, name := range []string{idempotentProfile, nonIdempotentProfile} {
 		t.Run(name, func(t *testing.T) {
 			runCluster(t, 2, 1, func(t *testing.T, cluster *cluster) {
-				cluster.setFault(standin.OrderSync, badAnswers["unavailable_503"])
+				cluster.setFault(standin.OrderSync, standin.OrderFaults()["unavailable_503"])
 				time.Sleep(200 * time.Millisecond)
 				// The job is created before the third failed sync and its attempt recorded after it.
 				cluster.store.setDelay(1500 * time.Millisecond)
@@ -153,8 +139,8 @@
 	}
 }
 
-// TestRunListedAfterItsAttempt guards against a run of an ended attempt that is not stopped although its worker, which was
-// suspended while the attempt ended, still lists it.
+// TestRunListedAfterItsAttempt guards against a run of an ended attempt that is not stopped although its worker, which
+// was suspended while the attempt ended, still lists it.
 func TestRunListedAfterItsAttempt(t *testing.T) {
 	for _, name := range []string{idempotentProfile, nonIdempotentProfile} {
 		t.Run(name, func(t *testing.T) {
@@ -174,7 +160,8 @@
 				time.Sleep(4 * time.Second)
 				for _, run := range cluster.record.Runs() {
 					if run.Attempt == 1 && run.End.IsZero() {
-						t.Errorf("a task of the ended attempt runs on %s 8 s after it was listed again, and %d stops were sent",
+						t.Errorf(
+							"a task of the ended attempt runs on %s 8 s after it was listed again; %d stops were sent",
 							run.Worker, cluster.workers[run.Worker].Received(standin.OrderStop)-stops)
 					}
 				}
@@ -284,7 +271,7 @@
 // TestUnknownRunIsStopped guards against a run that a worker lists and no job knows, and that is stopped once or not at
 // all.
 func TestUnknownRunIsStopped(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		t.Run(name, func(t *testing.T) {
 			runCluster(t, 1, 1, func(t *testing.T, cluster *cluster) {
 				worker := cluster.workers["w0"]
@@ -320,7 +307,7 @@
 	runCluster(t, 3, 2, func(t *testing.T, cluster *cluster) {
 		mustSubmit(t, cluster, "j", nonIdempotentProfile, longInput)
 		time.Sleep(3 * time.Second)
-		cluster.setFault(standin.OrderStop, badAnswers["unavailable_503"])
+		cluster.setFault(standin.OrderStop, standin.OrderFaults()["unavailable_503"])
 		cluster.cancel("j")
 		for _, process := range cluster.processes {
 			process.kill()
--- a/internal/domain/stateful_test.go
+++ b/internal/domain/stateful_test.go
@@ -46,10 +46,14 @@
 			cluster.pickWorker(pick).Restart()
 		}
 	},
-	"orders_refused":  func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "unavailable_503") },
-	"orders_no_lease": func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "refused_no_lease") },
-	"orders_ignored":  func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "confirmed_only") },
-	"orders_late":     func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "late") },
+	"orders_refused": func(cluster *cluster, on bool, pick int) {
+		cluster.pickOrderFault(on, pick, "unavailable_503")
+	},
+	"orders_no_lease": func(cluster *cluster, on bool, pick int) {
+		cluster.pickOrderFault(on, pick, "refused_no_lease")
+	},
+	"orders_ignored": func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "confirmed_only") },
+	"orders_late":    func(cluster *cluster, on bool, pick int) { cluster.pickOrderFault(on, pick, "late") },
 }
 
 // testedOrders are the orders that pickOrderFault picks from.
@@ -61,7 +65,7 @@
 func (cluster *cluster) pickOrderFault(on bool, pick int, name string) {
 	worker := cluster.pickWorker(pick / len(testedOrders))
 	if on {
-		worker.SetFault(testedOrders[pick%len(testedOrders)], badAnswers[name])
+		worker.SetFault(testedOrders[pick%len(testedOrders)], standin.OrderFaults()[name])
 		return
 	}
 	for _, order := range testedOrders {
--- a/internal/standin/worker/fault.go
+++ b/internal/standin/worker/fault.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
 )
 
 // Order is a kind of command that a worker receives.
@@ -32,6 +35,19 @@
 	Delay time.Duration
 }
 
+// OrderFaults returns, by name, a fault of each way in which a worker does not carry out an order.
+func OrderFaults() map[string]*Fault {
+	return map[string]*Fault{
+		"unavailable_503":     {Err: connect.NewError(connect.CodeUnavailable, errors.New("unhealthy"))},
+		"too_many_429":        {Err: connect.NewError(connect.CodeResourceExhausted, errors.New("busy"))},
+		"refused_unavailable": {Refusal: "unavailable"},
+		"refused_expired":     {Refusal: "expired"},
+		"refused_no_lease":    {Refusal: "no_lease"},
+		"confirmed_only":      {Ignored: true},
+		"late":                {Delay: 3 * time.Second},
+	}
+}
+
 // SetFault sets the fault with which the worker handles the orders of a kind from now on; nil ends it.
 func (worker *Worker) SetFault(order Order, fault *Fault) {
 	worker.mutex.Lock()
--- a/internal/worker/checkpoint_test.go
+++ b/internal/worker/checkpoint_test.go
@@ -14,7 +14,7 @@
 // TestCheckpointIsSentUntilListed guards against a gang that loses its work because a worker did not carry out one
 // request for a checkpoint.
 func TestCheckpointIsSentUntilListed(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 2, func(tested *testFleet) {
 				gang := tested.start("j")
@@ -34,10 +34,10 @@
 	}
 }
 
-// TestCheckpointEndsWithTheGracePeriod guards against a flood of requests for checkpoints and against requests after the
-// grace period.
+// TestCheckpointEndsWithTheGracePeriod guards against a flood of requests for checkpoints and against requests after
+// the grace period.
 func TestCheckpointEndsWithTheGracePeriod(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 1, func(tested *testFleet) {
 				gang := tested.start("j")
--- a/internal/worker/renewal_test.go
+++ b/internal/worker/renewal_test.go
@@ -12,7 +12,7 @@
 // confirmed a start that it did not carry out.
 func TestNoRenewalBeforeListed(t *testing.T) {
 	runFleet(t, 2, func(tested *testFleet) {
-		tested.workers["w0"].SetFault(standin.OrderStart, badAnswers["confirmed_only"])
+		tested.workers["w0"].SetFault(standin.OrderStart, standin.OrderFaults()["confirmed_only"])
 		tested.start("j")
 		time.Sleep(tested.manager.Timing.MaxProbationLifetime() - 2*time.Second)
 		if running := tested.running(); running != 0 {
@@ -25,7 +25,7 @@
 // lost.
 func TestFirstRenewalDespiteLostSync(t *testing.T) {
 	runFleet(t, 2, func(tested *testFleet) {
-		tested.workers["w0"].SetFault(standin.OrderSync, badAnswers["late"])
+		tested.workers["w0"].SetFault(standin.OrderSync, standin.OrderFaults()["late"])
 		go func() {
 			time.Sleep(900 * time.Millisecond)
 			tested.workers["w0"].SetFault(standin.OrderSync, nil)
@@ -49,7 +49,7 @@
 				if _, err := tested.manager.StopGang(tested.t.Context(), gang.Members); err != nil {
 					t.Fatal(err)
 				}
-				worker.SetFault(standin.OrderSync, badAnswers[name])
+				worker.SetFault(standin.OrderSync, standin.OrderFaults()[name])
 				tested.manager.Forget("w0", gang.Members[0].Lease)
 				time.Sleep(5 * time.Second)
 				worker.SetFault(standin.OrderSync, nil)
--- a/internal/worker/stop_test.go
+++ b/internal/worker/stop_test.go
@@ -1,29 +1,16 @@
 package worker
 
 import (
-	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/rcrowley/go-metrics"
 
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 )
 
-// badAnswers are the ways in which a worker does not carry out an order.
-var badAnswers = map[string]*standin.Fault{
-	"unavailable_503":     {Err: connect.NewError(connect.CodeUnavailable, errors.New("unhealthy"))},
-	"too_many_429":        {Err: connect.NewError(connect.CodeResourceExhausted, errors.New("busy"))},
-	"refused_unavailable": {Refusal: "unavailable"},
-	"refused_expired":     {Refusal: "expired"},
-	"refused_no_lease":    {Refusal: "no_lease"},
-	"confirmed_only":      {Ignored: true},
-	"late":                {Delay: 3 * time.Second},
-}
-
 // stopInBackground begins to stop a gang and returns a function that reports the states once the stop has returned.
 func (tested *testFleet) stopInBackground(gang Gang) func() ([]workerv1.TaskState, bool) {
 	done := make(chan []workerv1.TaskState, 1)
@@ -44,7 +31,7 @@
 
 // TestStopIsSentUntilListedAsEnded guards against a stop that counts as done while the worker still lists the run.
 func TestStopIsSentUntilListedAsEnded(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 1, func(tested *testFleet) {
 				worker := tested.workers["w0"]
@@ -66,7 +53,8 @@
 				time.Sleep(4 * time.Second)
 				states, returned := result()
 				if !returned || states[0] != workerv1.TaskState_TASK_STATE_STOPPED || tested.running() != 0 {
-					t.Errorf("4 s after the fault: returned %t, states %v, %d tasks run", returned, states, tested.running())
+					t.Errorf("4 s after the fault: returned %t, states %v, %d tasks run",
+						returned, states, tested.running())
 				}
 			})
 		})
@@ -75,7 +63,7 @@
 
 // TestRefusedStopEndsWithTheLease guards against the renewal of a lease whose task is to stop.
 func TestRefusedStopEndsWithTheLease(t *testing.T) {
-	for name, fault := range badAnswers {
+	for name, fault := range standin.OrderFaults() {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, 1, func(tested *testFleet) {
 				gang := tested.start("j")
@@ -100,7 +88,7 @@
 		tested.workers["w0"] = standin.New(tested.machines[0], tested.record, standin.Settings{
 			Now: func() time.Time { return stopped },
 		})
-		tested.workers["w0"].SetFault(standin.OrderStop, badAnswers["refused_unavailable"])
+		tested.workers["w0"].SetFault(standin.OrderStop, standin.OrderFaults()["refused_unavailable"])
 		tested.manager.SetFleet(tested.machines)
 		time.Sleep(time.Second)
 		gang := tested.start("j")
