--- a/internal/control/advice_test.go
+++ b/internal/control/advice_test.go
@@ -13,9 +13,8 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// TestRefusedTickets guards against a worker that refuses every ticket and is asked about and started on again and
-// again, at the cost of a request to the adviser and two writes each. It also guards against a ticket that expired on
-// its way and delays the next start.
+// TestRefusedTickets guards against repeated advice and starts, each with two writes, for a worker that refuses every
+// ticket, and against a pause after a ticket that expired on its way.
 func TestRefusedTickets(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -201,7 +201,8 @@
 	var expired []*job
 	for id, job := range loop.jobs {
 		old := job.status.State.Terminal() && time.Since(job.status.Ended) > loop.Retention
-		if !old || job.removing || job.record.AnyPlaced() || len(job.runs) > 0 || len(txn.Deletes)+3 >= keyvalue.MaxEntries {
+		if !old || job.removing || job.record.AnyPlaced() || len(job.runs) > 0 ||
+			len(txn.Deletes)+3 >= keyvalue.MaxEntries {
 			continue
 		}
 		txn.Deletes = append(txn.Deletes, ledger.JobKey(id), ledger.RecordKey(id), ledger.StatusKey(id))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -35,8 +35,8 @@
 	// Catalog returns the configuration in force, or nil before the first one is loaded.
 	Catalog func() *catalog.Catalog
 	Clock   term.Clock
-	// MaxReportAge is the age of a worker's report from which on its capacity is not known. ReportsOutdated tells whether
-	// the reports in the store may be of the time before an outage that has just ended.
+	// MaxReportAge is the age of a worker's report from which on its capacity is not known. ReportsOutdated tells
+	// whether the reports in the store may be of the time before an outage that has just ended.
 	MaxReportAge    time.Duration
 	ReportsOutdated func() bool
 	// LeaseDuration is how long a worker continues a run after the last order that extends its lease.
@@ -111,8 +111,8 @@
 	workers        map[fleet.WorkerID]*worker
 	// contested are the latest entries of workers that contradict what is known of them; see contradicts.
 	contested map[fleet.WorkerID]WorkerEntry
-	// restartedAt has the time at which each worker last named another incarnation, and restarts those replacements of links
-	// that wait because of it.
+	// restartedAt has the time at which each worker last named another incarnation, and restarts those replacements of
+	// links that wait because of it.
 	restartedAt map[fleet.WorkerID]time.Duration
 	restarts    map[fleet.WorkerID]restart
 	// formerTokens has the last tokens of the workers that were removed in this term.
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -45,8 +45,8 @@
 	Suspect  bool               `json:"suspect"`
 	Free     workload.Resources `json:"free"`
 	Runs     []string           `json:"runs"`
-	// Stopping are those of the runs that are to be stopped. Unexpected are the runs that the worker lists although they
-	// are not placed there; it gets no other work until they have ended.
+	// Stopping are those of the runs that are to be stopped. Unexpected are the runs that the worker lists although
+	// they are not placed there; it gets no other work until they have ended.
 	Stopping   []string `json:"stopping"`
 	Unexpected []string `json:"unexpected"`
 }
@@ -109,7 +109,8 @@
 		ID: worker.entry.ID, Rack: worker.entry.Rack, Listed: worker.listed, Settled: worker.settled,
 		Silent: worker.unresponsive, Draining: worker.entry.Draining,
 		Suspect: !worker.health.Available(now) || worker.health.Unreliable(),
-		Free:    worker.entry.Capacity.Sub(worker.used).Sub(worker.reserved), Runs: []string{}, Stopping: []string{}, Unexpected: []string{},
+		Free:    worker.entry.Capacity.Sub(worker.used).Sub(worker.reserved),
+		Runs:    []string{}, Stopping: []string{}, Unexpected: []string{},
 	}
 	for id, run := range worker.runs {
 		dump.Runs = append(dump.Runs, id.String())
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -50,9 +50,9 @@
 	loop.planNeeded = true
 }
 
-// askForIncarnation polls a worker without a valid entry on which runs of a former controller were restored, at the address
-// that it had then. If another incarnation responds there, the runs have certainly ended. Otherwise they end with the
-// longest lease that a former controller may have granted.
+// askForIncarnation polls a worker without a valid entry on which runs of a former controller were restored, at the
+// address that it had then. If another incarnation responds there, the runs have certainly ended. Otherwise they end
+// with the longest lease that a former controller may have granted.
 func (loop *dispatcher) askForIncarnation(id fleet.WorkerID) {
 	known := loop.workers[id]
 	if known == nil || known.link != nil || known.entry.Address == "" {
@@ -72,7 +72,8 @@
 	}
 }
 
-// observeWorker follows a valid entry. An entry that contradicts what is known of the worker is put off; see contradicts.
+// observeWorker follows a valid entry. An entry that contradicts what is known of the worker is put off; see
+// contradicts.
 func (loop *dispatcher) observeWorker(entry WorkerEntry) {
 	known := loop.workers[entry.ID]
 	wasDraining := known != nil && known.entry.Draining
@@ -109,8 +110,8 @@
 	}
 }
 
-// connectWithoutEntry connects a worker on which runs of a former controller were restored before its entry was read. The
-// runs are where the former controller placed them, whatever the entry says.
+// connectWithoutEntry connects a worker on which runs of a former controller were restored before its entry was read.
+// The runs are where the former controller placed them, whatever the entry says.
 func (loop *dispatcher) connectWithoutEntry(known *worker, entry WorkerEntry) {
 	if known.entry.Address != "" && !entry.sameInstance(known.entry) {
 		entry = known.entry
@@ -125,8 +126,8 @@
 }
 
 // contradicts reports whether an entry names another incarnation or address although the known one is not known to have
-// failed. Such an entry may be wrong, and the runs of the worker would be lost with the link to it. If the incarnation is
-// the same, its runs are where they were, and only the end of their leases shows that they have ended.
+// failed. Such an entry may be wrong, and the runs of the worker would be lost with the link to it. If the incarnation
+// is the same, its runs are where they were, and only the end of their leases shows that they have ended.
 func (worker *worker) contradicts(entry WorkerEntry) bool {
 	known := worker.link.entry
 	switch {
@@ -138,8 +139,8 @@
 	return entry.Incarnation == known.Incarnation && worker.occupied()
 }
 
-// contest puts off an entry that contradicts what is known of the worker, and has the worker polled. No task starts there
-// until the worker has failed, or it or an entry resolves the contradiction.
+// contest puts off an entry that contradicts what is known of the worker, and has the worker polled. No task starts
+// there until the worker has failed, or it or an entry resolves the contradiction.
 func (loop *dispatcher) contest(known *worker, entry WorkerEntry) {
 	former, ok := loop.contested[entry.ID]
 	if !ok || !entry.sameInstance(former) {
--- a/internal/control/entries_test.go
+++ b/internal/control/entries_test.go
@@ -20,9 +20,9 @@
 	}
 }
 
-// TestEvacuation guards against runs that stay on a draining worker until it leaves, because the worker has another
-// controller or incarnation when its draining is first read. It also guards against the stop of a restored run that would
-// end in time, and of a run on a worker of which only an entry with another address says that it drains.
+// TestEvacuation guards against runs that stay on a worker already draining at its first entry in a term or
+// incarnation, and against stops of restored runs that end in time, or on a worker draining only by an entry with
+// another address.
 func TestEvacuation(t *testing.T) {
 	tests := []struct {
 		name              string
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -35,8 +35,8 @@
 	loop.planNeeded = true
 }
 
-// decodeJob reads the document of a job, which is stored under its id. Under another key it would replace the job with that
-// id, whose tasks would start again.
+// decodeJob reads the document of a job, which is stored under its id. Under another key it would replace the job with
+// that id, whose tasks would start again.
 func decodeJob(id fleet.JobID, item keyvalue.Item) (workload.Job, error) {
 	accepted, err := ledger.Decode[workload.Job](item)
 	if err != nil {
@@ -159,8 +159,8 @@
 // unknownState is the state in a status document that cannot be read.
 const unknownState progress.State = ""
 
-// replaceStatus has the status of a job written again, because the document in the store cannot be read. Its revision is
-// needed for that: with another one, each write would conflict and end the term.
+// replaceStatus has the status of a job written again, because the document in the store cannot be read. Its revision
+// is needed for that: with another one, each write would conflict and end the term.
 func (loop *dispatcher) replaceStatus(job *job, revision keyvalue.Revision) {
 	job.status.Revision = revision
 	if !job.status.State.Terminal() {
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -48,10 +48,11 @@
 type linkDuty struct {
 	// occupied is set while the worker has runs. The link polls it then.
 	occupied bool
-	// extendLeases is set while one of the runs is not to be stopped. Otherwise the leases end the runs whose stops fail.
+	// extendLeases is set while one of the runs is not to be stopped. Otherwise the leases end the runs whose stops
+	// fail.
 	extendLeases bool
-	// frequent is set while the worker is polled at short intervals, because it has both serving runs, which have a target
-	// for their response times, and best-effort runs, or because it has a run that may crash it.
+	// frequent is set while the worker is polled at short intervals, because it has both serving runs, which have a
+	// target for their response times, and best-effort runs, or because it has a run that may crash it.
 	frequent bool
 }
 
@@ -150,8 +151,9 @@
 	pollWait = time.Second
 	// pollTimeout is added to the wait of a poll to get its timeout.
 	pollTimeout = 600 * time.Millisecond
-	// pollRetry is the pause between polls while the worker is unresponsive. For a worker without runs it doubles with each
-	// failure up to maxIdlePollRetry: an entry may name a worker that does not exist, for as long as the entry does.
+	// pollRetry is the pause between polls while the worker is unresponsive. For a worker without runs it doubles with
+	// each failure up to maxIdlePollRetry: an entry may name a worker that does not exist, for as long as the entry
+	// does.
 	pollRetry        = 150 * time.Millisecond
 	maxIdlePollRetry = time.Second
 	// minPollInterval is the minimum interval between polls whose listings contain no new end.
@@ -292,8 +294,8 @@
 	orderRetry = 250 * time.Millisecond
 )
 
-// start sends the start of a run until the worker responds, the run has ended or is to be stopped, or maxStartAttempts is
-// reached.
+// start sends the start of a run until the worker responds, the run has ended or is to be stopped, or maxStartAttempts
+// is reached.
 func (link *link) start(run *run, order StartOrder) {
 	var err error
 	attempts := 0
--- a/internal/control/lost_orders_test.go
+++ b/internal/control/lost_orders_test.go
@@ -60,7 +60,8 @@
 		loop.pump(3900 * time.Millisecond)
 		for _, id := range fake.running {
 			if id.task.Job == cancelled.ID {
-				t.Errorf("the run goes on 3.9 s after its job was cancelled; %d stops have reached the worker, which accepts them",
+				t.Errorf(
+					"the run goes on 3.9 s after its job was cancelled; %d stops reached the worker, which accepts them",
 					len(fake.stops)-before)
 			}
 		}
@@ -75,8 +76,8 @@
 	return 0, ctx.Err()
 }
 
-// TestLostStartEndsWithItsDeadline guards against a task that stays placed for as long as a worker refuses the stop of a
-// start which had no answer. Once the worker's clock is past the deadline of the last attempt, it refuses the start.
+// TestLostStartEndsWithItsDeadline guards against a task that stays placed for as long as a worker refuses the stop of
+// a start which had no answer. Once the worker's clock is past the deadline of the last attempt, it refuses the start.
 func TestLostStartEndsWithItsDeadline(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		loop.Workers = neverStarting{fake}
@@ -84,7 +85,8 @@
 		job := loop.startTasks(1)
 		loop.pump(30 * time.Second)
 		if task := job.record.Occurrences[0].Steps[0].Tasks[0]; task.Phase != progress.Waiting || len(worker.runs) > 0 {
-			t.Errorf("30 s after a start with a deadline of 5 s, the task is %q and %d runs are placed; the worker lists none",
+			t.Errorf(
+				"30 s after a start with a deadline of 5 s, the task is %q, and %d runs are placed but none listed",
 				task.Phase, len(worker.runs))
 		}
 	})
@@ -133,7 +135,8 @@
 		loop.stopJob(job)
 		loop.pump(6 * time.Second)
 		if len(fake.running) > 0 {
-			t.Errorf("6 s after its job was stopped, the worker runs %v, and %d stops arrived", fake.running, len(fake.stops))
+			t.Errorf("6 s after its job was stopped, the worker runs %v, and %d stops arrived",
+				fake.running, len(fake.stops))
 		}
 	})
 }
@@ -228,9 +231,8 @@
 	return Listing{}, &RefusalError{Reason: RefusedUnhealthy}
 }
 
-// TestNoStartAfterItsRunHasEnded guards against a start that goes out after the leases on its worker counted as expired
-// and its run as ended. Polls grant no lease while only stopping runs are left, so that the leases count as expired as soon
-// as one poll fails, also between sendStart and the moment at which the goroutine that sends the start grants its lease.
+// TestNoStartAfterItsRunHasEnded guards against a start after its run has expired: polls grant no lease while all runs
+// are stopping, so that one failed poll between sendStart and the grant of the lease of the start is enough.
 func TestNoStartAfterItsRunHasEnded(t *testing.T) {
 	// One processor lets the loop end the run before the goroutine starts, as on a busy VM.
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
@@ -264,8 +266,8 @@
 	})
 }
 
-// TestNoStartAttemptAfterOrderToStop guards against further attempts to start a run once it is to be stopped: with its stop
-// refused, they start a task of a cancelled job.
+// TestNoStartAttemptAfterOrderToStop guards against further attempts to start a run once it is to be stopped: with its
+// stop refused, they start a task of a cancelled job.
 func TestNoStartAttemptAfterOrderToStop(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, _ *worker) {
 		switched := &switchedWorker{fakeWorker: fake, loseStart: true}
--- a/internal/control/odd_workers_test.go
+++ b/internal/control/odd_workers_test.go
@@ -13,21 +13,22 @@
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
-// restlessWorkers names another incarnation in each response.
-type restlessWorkers struct {
+// restartingWorkers names another incarnation in each response.
+type restartingWorkers struct {
 	recordingWorkers
 	polls atomic.Int64
 }
 
-func (workers *restlessWorkers) Poll(_ context.Context, _ WorkerEntry, _ PollOrder) (Listing, error) {
+func (workers *restartingWorkers) Poll(_ context.Context, _ WorkerEntry, _ PollOrder) (Listing, error) {
 	time.Sleep(time.Millisecond)
 	return Listing{Incarnation: progress.Incarnation(1000 + workers.polls.Add(1)), Clock: 1}, nil
 }
 
-// TestWorkerWithManyIncarnations guards against a busy loop of polls to a worker that names another incarnation each time.
+// TestWorkerWithManyIncarnations guards against a busy loop of polls to a worker that names another incarnation each
+// time.
 func TestWorkerWithManyIncarnations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		orders := &restlessWorkers{}
+		orders := &restartingWorkers{}
 		loop := newTestLoop(t, 1)
 		began := time.Now()
 		loop.Clock = func() time.Duration { return time.Since(began) }
@@ -63,8 +64,8 @@
 	return Listing{}, errors.New("connection refused")
 }
 
-// TestAbsentWorkerIsPolledRarely guards against frequent polls, without an end, to the address in an entry of a worker that
-// does not exist.
+// TestAbsentWorkerIsPolledRarely guards against frequent polls, without an end, to the address in an entry of a worker
+// that does not exist.
 func TestAbsentWorkerIsPolledRarely(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		orders := &absentWorkers{}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -196,8 +196,8 @@
 
 // mustBeListed reports whether a listing that was requested at the given local time, and made at the given time of the
 // worker's clock, proves that the run does not exist if it lacks the run. It does so after the worker has confirmed the
-// start or the stop of the run. It also does so after the deadline of the start, because the worker refuses a start that
-// it receives later.
+// start or the stop of the run. It also does so after the deadline of the start, because the worker refuses a start
+// that it receives later.
 func (run *run) mustBeListed(requested time.Duration, made WorkerClock) bool {
 	return run.listedAfter != 0 && requested > run.listedAfter || run.startDeadline != 0 && made > run.startDeadline
 }
@@ -290,8 +290,9 @@
 	})
 }
 
-// handleStartOutcome handles the outcome of a start. Without an attempt the run does not exist. A refusal proves that the run does not exist only if the first
-// attempt was refused. Before the refusal of a later attempt, an attempt that timed out may have been carried out.
+// handleStartOutcome handles the outcome of a start. Without an attempt the run does not exist. A refusal proves that
+// the run does not exist only if the first attempt was refused. Before the refusal of a later attempt, an attempt that
+// timed out may have been carried out.
 func (loop *dispatcher) handleStartOutcome(placed *run, token Token, attempts int, err error) {
 	worker := loop.workers[placed.link.entry.ID]
 	if worker == nil || worker.runs[placed.task] != placed {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -26,8 +26,8 @@
 	removing bool
 	// onStored are called once the present version of the record is stored.
 	onStored []func()
-	// runs are the runs of the job that are placed on workers. They may include members of a gang whose tasks the record
-	// counts as done, because another member was done.
+	// runs are the runs of the job that are placed on workers. They may include members of a gang whose tasks the
+	// record counts as done, because another member was done.
 	runs map[*run]bool
 	// failedOn are the workers on which runs of the job failed in this term.
 	failedOn map[fleet.WorkerID]bool
@@ -35,8 +35,8 @@
 	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
 	bestSpeeds map[runKind]speed
-	// suspectedSince has, for the first task of each unit under which a worker crashed in this term, the time of the latest
-	// crash.
+	// suspectedSince has, for the first task of each unit under which a worker crashed in this term, the time of the
+	// latest crash.
 	suspectedSince map[workload.TaskID]time.Duration
 	// moves counts how often each task was moved off a slow worker in this term.
 	moves map[workload.TaskID]int
@@ -126,8 +126,8 @@
 	// shown that it went on working.
 	firstListed time.Duration
 	cleared     bool
-	// isolated is set for a run that has its worker to itself until it is cleared, because workers crashed under earlier
-	// runs of its task.
+	// isolated is set for a run that has its worker to itself until it is cleared, because workers crashed under
+	// earlier runs of its task.
 	isolated bool
 	// listedAfter is the local time after which a requested listing must contain the run or its end. It is 0 while that
 	// time is unknown, before the worker has confirmed the start or the stop of the run.
@@ -152,8 +152,8 @@
 	settled bool
 	// unresponsive is set while polls of the worker fail.
 	unresponsive bool
-	// failingSince is the time at which the worker last stopped answering, or was found to have restarted. It is valid if
-	// everFailed is set.
+	// failingSince is the time at which the worker last stopped answering, or was found to have restarted. It is valid
+	// if everFailed is set.
 	failingSince time.Duration
 	everFailed   bool
 	// failedPromptly is set if the failure was noticed at once, unexplained if no run had just started then, and
--- a/internal/control/stopgate.go
+++ b/internal/control/stopgate.go
@@ -14,8 +14,8 @@
 )
 
 // stopGate limits the stops that a worker receives while it refuses them. Stops to a worker that confirms them, or does
-// not answer, pass at once. After a refusal the gate is closed: one stop passes after each pause, as a probe for all runs,
-// and the first confirmed stop lets all others pass.
+// not answer, pass at once. After a refusal the gate is closed: one stop passes after each pause, as a probe for all
+// runs, and the first confirmed stop lets all others pass.
 type stopGate struct {
 	// turn holds at most one value: the right to send the next probe.
 	turn chan struct{}
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -24,12 +24,12 @@
 	}
 }
 
-// stopTime is how long a worker may list a run after it has confirmed the stop. The platform's workers take up to 0.9 s to
-// stop a run.
+// stopTime is how long a worker may list a run after it has confirmed the stop. The platform's workers take up to 0.9 s
+// to stop a run.
 const stopTime = 1200 * time.Millisecond
 
-// ensureStop sends the stop of a run again that a listing, requested at the given local time, still contains, unless the
-// stop is being sent or the worker may need more time for it.
+// ensureStop sends the stop of a run again that a listing, requested at the given local time, still contains, unless
+// the stop is being sent or the worker may need more time for it.
 func (loop *dispatcher) ensureStop(run *run, requested time.Duration) {
 	if confirmed := run.stopConfirmedAt; confirmed != 0 {
 		if requested < confirmed+stopTime {
@@ -38,7 +38,8 @@
 		run.stopConfirmedAt = 0
 		run.stopsWithoutEffect++
 		if isPowerOfTwo(run.stopsWithoutEffect) {
-			loop.Logger.Warn("run still listed after its stop was confirmed; stopping it again", "task", run.task.String(),
+			loop.Logger.Warn("run still listed after its stop was confirmed; stopping it again",
+				"task", run.task.String(),
 				"run", int(run.number), "worker", string(run.link.entry.ID), "stops", run.stopsWithoutEffect,
 				"confirmed_ms", (requested - confirmed).Milliseconds())
 		}
@@ -46,8 +47,8 @@
 	loop.sendStop(run)
 }
 
-// sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it, unless this
-// link is sending it already.
+// sendStop sends the stop of a run through the run's present link, to the incarnation of the worker behind it, unless
+// this link is sending it already.
 func (loop *dispatcher) sendStop(run *run) {
 	link := run.link
 	if run.stopVia == link {
@@ -105,9 +106,9 @@
 	return err
 }
 
-// handleStopOutcome handles the outcome of one attempt to stop a run. Once the worker has confirmed the stop, it refuses
-// a late start of the run, so a listing that is requested from now on and does not contain the run proves that the run
-// has ended. A refusal proves nothing: an unanswered start of the run may still be carried out.
+// handleStopOutcome handles the outcome of one attempt to stop a run. Once the worker has confirmed the stop, it
+// refuses a late start of the run, so a listing that is requested from now on and does not contain the run proves that
+// the run has ended. A refusal proves nothing: an unanswered start of the run may still be carried out.
 func (loop *dispatcher) handleStopOutcome(run *run, link *link, attempts int, err error) {
 	loop.logStopOutcome(run, link, attempts, err)
 	if run.link != link {
--- a/internal/control/stops_test.go
+++ b/internal/control/stops_test.go
@@ -19,8 +19,8 @@
 	running []runID
 	stopped map[workload.TaskID]progress.RunNumber
 	ends    []RunEnd
-	// refuseStops makes the worker refuse all stops, ignoreStops makes it confirm them without effect, and loseStops makes
-	// it not answer them.
+	// refuseStops makes the worker refuse all stops, ignoreStops makes it confirm them without effect, and loseStops
+	// makes it not answer them.
 	refuseStops, ignoreStops, loseStops bool
 	// loseStarts makes the worker answer no start and carry it out lateStart later.
 	loseStarts bool
@@ -170,7 +170,8 @@
 	return job
 }
 
-// TestCancelledRunEndsAfterRefusedStop guards against a run of a cancelled job that goes on because its stop was refused.
+// TestCancelledRunEndsAfterRefusedStop guards against a run of a cancelled job that goes on because its stop was
+// refused.
 func TestCancelledRunEndsAfterRefusedStop(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		cancelled := loop.startTasks(1)
@@ -182,14 +183,15 @@
 		fake.set(func() { fake.refuseStops = false })
 		loop.pump(time.Second)
 		if len(fake.running) != 1 || fake.running[0].task.Job == cancelled.ID || len(worker.runs) != 1 {
-			t.Errorf("1 s after the worker accepts stops again it runs %v, and %d runs are placed there; want the other job's",
+			t.Errorf(
+				"1 s after the worker accepts stops again it runs %v, and %d runs are placed; want the other job's",
 				fake.running, len(worker.runs))
 		}
 	})
 }
 
-// TestNoSecondRunBesideLateStart guards against a task that is placed again although an unanswered start of it may still
-// be carried out, because the stop was refused.
+// TestNoSecondRunBesideLateStart guards against a task that is placed again although an unanswered start of it may
+// still be carried out, because the stop was refused.
 func TestNoSecondRunBesideLateStart(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		fake.set(func() { fake.loseStarts, fake.refuseStops, fake.lateStart = true, true, 3*time.Second })
@@ -207,7 +209,7 @@
 	})
 }
 
-// TestStopsToRefusingWorkerAreBounded guards against a storm of stops to a worker that refuses all of them.
+// TestStopsToRefusingWorkerAreBounded guards against an unbounded rate of stops to a worker that refuses all of them.
 func TestStopsToRefusingWorkerAreBounded(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		job := loop.startTasks(8)
@@ -242,7 +244,8 @@
 		fake.set(func() { fake.ignoreStops = false })
 		loop.pump(3 * time.Second)
 		if len(fake.running) != 1 || len(worker.runs) != 1 {
-			t.Errorf("the worker runs %v, and %d runs are placed there; want the other job's", fake.running, len(worker.runs))
+			t.Errorf("the worker runs %v, and %d runs are placed there; want the other job's",
+				fake.running, len(worker.runs))
 		}
 	})
 }
@@ -261,8 +264,8 @@
 	})
 }
 
-// loseTrack makes the loop take the runs of a job for lost that their worker goes on with. The next poll is one that reads
-// an idle worker too, like the first one of a link.
+// loseTrack makes the loop take the runs of a job for lost that their worker goes on with. The next poll is one that
+// reads an idle worker too, like the first one of a link.
 func (test *testLoop) loseTrack(worker *worker, job *job) {
 	for _, run := range worker.runs {
 		if run.job == job {
@@ -275,8 +278,8 @@
 	worker.link.notify()
 }
 
-// TestNoStartBesideUnexpectedRun guards against a second run of a task, and against starts on a worker whose capacity is
-// not known, while the worker lists a run that is not placed there.
+// TestNoStartBesideUnexpectedRun guards against a second run of a task, and against starts on a worker whose capacity
+// is not known, while the worker lists a run that is not placed there.
 func TestNoStartBesideUnexpectedRun(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		job := loop.startTasks(1)
@@ -290,7 +293,8 @@
 		loop.submit(1, job.Steps[0])
 		loop.plan()
 		if len(worker.runs) > 0 || len(other.runs) != 1 || other.runs[workload.TaskID{Job: job.ID}] != nil {
-			t.Errorf("%d runs are placed beside the unexpected run, on the other worker %v; want only the other job's there",
+			t.Errorf(
+				"%d runs are placed beside the unexpected run, on the other worker %v; want only the other job's there",
 				len(worker.runs), other.runs)
 		}
 		fake.set(func() { fake.refuseStops = false })
@@ -302,8 +306,8 @@
 	})
 }
 
-// TestStopsOfUnexpectedRunAreBounded guards against another stop, sent until it is answered, for each listing that shows an
-// unexpected run.
+// TestStopsOfUnexpectedRunAreBounded guards against another stop, sent until it is answered, for each listing that
+// shows an unexpected run.
 func TestStopsOfUnexpectedRunAreBounded(t *testing.T) {
 	withFakeWorker(t, func(loop *testLoop, fake *fakeWorker, worker *worker) {
 		job := loop.startTasks(1)
--- a/internal/control/throttle.go
+++ b/internal/control/throttle.go
@@ -16,8 +16,8 @@
 const (
 	// fullShare is the share of every run when it starts.
 	fullShare Share = 100
-	// unknownShare is the share of a run that a former controller started, until this term has set the share, and that of
-	// a run after an order without a response.
+	// unknownShare is the share of a run that a former controller started, until this term has set the share, and that
+	// of a run after an order without a response.
 	unknownShare Share = -1
 	// restoredShare is the share that this term first sets for best-effort runs that a former controller started.
 	restoredShare Share = 30
@@ -140,8 +140,8 @@
 	// lateExecution is the time after its timeout within which an order without a response is carried out if at all.
 	// Such orders are known to be carried out up to 12 s after they were sent, also after newer ones.
 	lateExecution = 12 * time.Second
-	// shareRepeatInterval is the interval at which a confirmed share is sent again during lateExecution. A late share is
-	// in force for no longer, which is a fraction of the time for which a target may be missed.
+	// shareRepeatInterval is the interval at which a confirmed share is sent again during lateExecution. A late share
+	// is in force for no longer, which is a fraction of the time for which a target may be missed.
 	shareRepeatInterval = 750 * time.Millisecond
 )
 
--- a/internal/control/throttle_test.go
+++ b/internal/control/throttle_test.go
@@ -104,15 +104,14 @@
 	return workers.share
 }
 
-// TestShareOrders guards against a best-effort run that stays at another share than the wanted one: after an order
-// without a response that is carried out all the same, also after a later one, and in a new incarnation. It also guards
-// against an unbounded number of orders.
+// TestShareOrders guards against a wrong share of a best-effort run in a new incarnation or after an order without a
+// response is carried out, also after a later order, and against an unbounded number of orders.
 func TestShareOrders(t *testing.T) {
 	const (
 		step     = 250 * time.Millisecond
 		duration = 40 * time.Second
-		// mostWrong is how long on end the run may have another share than the wanted one, except while orders are lost.
-		// It is half of the time for which a serving run may miss its target.
+		// mostWrong is how long on end the run may have another share than the wanted one, except while orders are
+		// lost. It is half of the time for which a serving run may miss its target.
 		mostWrong = 2 * time.Second
 	)
 	none := Share(-2)
@@ -164,7 +163,8 @@
 					longest = max(longest, wrong)
 				}
 				if workers.current() != wanted || longest > mostWrong {
-					t.Errorf("share %d at the end, want %d; %v on end at another share, want at most %v", workers.current(),
+					t.Errorf("share %d at the end, want %d; %v on end at another share, want at most %v",
+						workers.current(),
 						wanted, longest, mostWrong)
 				}
 				if workers.calls > test.mostCalls {
--- a/internal/control/unexpected.go
+++ b/internal/control/unexpected.go
@@ -14,9 +14,9 @@
 	number progress.RunNumber
 }
 
-// A worker may list runs that are not placed there: runs that an earlier controller started, or that were taken for lost.
-// They are stopped, and until a listing lacks them nothing else starts on the worker, whose free capacity is unknown, and
-// no other run of their tasks starts anywhere.
+// A worker may list runs that are not placed there: runs that an earlier controller started, or that were taken for
+// lost. They are stopped, and until a listing lacks them nothing else starts on the worker, whose free capacity is
+// unknown, and no other run of their tasks starts anywhere.
 
 // stopUnexpected stops a run that a listing requested at the given local time contains although the run was not placed
 // on the worker, or has been replaced by a later run of its task.
@@ -24,7 +24,8 @@
 	id := runID{status.Task, status.Run}
 	known := worker.unexpected[id]
 	if known == nil {
-		loop.Logger.Warn("unexpected run on a worker; stopping it", "task", status.Task.String(), "run", int(status.Run),
+		loop.Logger.Warn("unexpected run on a worker; stopping it",
+			"task", status.Task.String(), "run", int(status.Run),
 			"worker", string(worker.entry.ID))
 		known = &run{task: status.Task, number: status.Run, link: worker.link, stopping: true}
 		worker.unexpected[id] = known
--- a/internal/domain/attempt.go
+++ b/internal/domain/attempt.go
@@ -265,9 +265,9 @@
 	})
 }
 
-// gangStopped processes the end of a stopped gang. If it was stopped because members did not start, and no member ran or
-// the job is idempotent, the job returns to the queue, and the workers of these members get no new work until their next
-// sync. Without that pause, a job would start again at once and as often as its workers refuse it.
+// gangStopped processes the end of a stopped gang. If it was stopped because members did not start, and no member ran
+// or the job is idempotent, the job returns to the queue, and the workers of these members get no new work until their
+// next sync. Without that pause, a job would start again at once and as often as its workers refuse it.
 func (owner *owner) gangStopped(job *job, states []workerv1.TaskState) {
 	result, _ := classifyAttempt(job.members, states)
 	ran := slices.ContainsFunc(states, func(state workerv1.TaskState) bool {
--- a/internal/domain/end.go
+++ b/internal/domain/end.go
@@ -148,8 +148,8 @@
 	return true
 }
 
-// cancellationSaved returns a callback that calls done after a write that contains the cancellation of a job. If the write
-// conflicted with that of another process, the cancellation is written again first.
+// cancellationSaved returns a callback that calls done after a write that contains the cancellation of a job. If the
+// write conflicted with that of another process, the cancellation is written again first.
 func (owner *owner) cancellationSaved(job *job, done func()) func(saveResult) {
 	return func(result saveResult) {
 		if result.conflicting != nil && owner.jobs[job.record.Key()] == job {
--- a/internal/keyvalue/invalid.go
+++ b/internal/keyvalue/invalid.go
@@ -2,9 +2,9 @@
 
 import "github.com/hashicorp/go-hclog"
 
-// InvalidItems logs which items cannot be used: a line when an item becomes invalid or has another error, and one when it
-// is valid again. An item that is written or listed again with the same error is not logged again. It is not safe for
-// concurrent use.
+// InvalidItems logs which items cannot be used: a line when an item becomes invalid or has another error, and one when
+// it is valid again. An item that is written or listed again with the same error is not logged again. It is not safe
+// for concurrent use.
 type InvalidItems struct {
 	logger hclog.Logger
 	level  hclog.Level
--- a/internal/keyvalue/keyvalue.go
+++ b/internal/keyvalue/keyvalue.go
@@ -90,8 +90,8 @@
 type Store interface {
 	// Get returns an item, or ErrNotFound.
 	Get(ctx context.Context, key string) (Item, error)
-	// List returns the items under a prefix and the revision after which a watch delivers all later changes. List and Watch
-	// need no timeout: they fail with ErrNoAnswer if the response does not begin in time or stops arriving.
+	// List returns the items under a prefix and the revision after which a watch delivers all later changes. List and
+	// Watch need no timeout: they fail with ErrNoAnswer if the response does not begin in time or stops arriving.
 	List(ctx context.Context, prefix string) ([]Item, Revision, error)
 	// Watch returns the changes under a prefix after a revision, and the revision from which to continue. It returns as
 	// soon as there is a change. If there is none within wait, it returns without changes. It returns ErrCompacted if
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -44,7 +44,8 @@
 		return nil
 	}
 	host, port, err := net.SplitHostPort(member.Address)
-	if _, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil || strings.ContainsAny(host, " /?#@") {
+	if _, portErr := strconv.ParseUint(port, 10, 16); err != nil || portErr != nil ||
+		strings.ContainsAny(host, " /?#@") {
 		return errors.Errorf("address: %.60q is not a host with a port", member.Address)
 	}
 	return nil
--- a/internal/standin/worker/fault_test.go
+++ b/internal/standin/worker/fault_test.go
@@ -49,7 +49,8 @@
 				defer cancel()
 				response, err := standin.Stop(ctx,
 					&workerv1.CommandRequest{LeaseId: "l", ExpiresWorkerMs: reserved.WorkerMs + 2000})
-				if !errors.Is(err, test.err) || response.GetDone() != test.done || response.GetRefusal() != test.refusal {
+				if !errors.Is(err, test.err) || response.GetDone() != test.done ||
+					response.GetRefusal() != test.refusal {
 					t.Errorf("stop: %v, %v", response, err)
 				}
 				time.Sleep(time.Until(sent.Add(time.Second)))
--- a/internal/worker/address_test.go
+++ b/internal/worker/address_test.go
@@ -79,8 +79,8 @@
 	})
 }
 
-// TestNoCommandByTheClockOfAnotherAddress guards against expiries that are computed from the clock of the process at the
-// former address.
+// TestNoCommandByTheClockOfAnotherAddress guards against expiries that are computed from the clock of the process at
+// the former address.
 func TestNoCommandByTheClockOfAnotherAddress(t *testing.T) {
 	runFleet(t, 1, func(tested *testFleet) {
 		moved := tested.addWorker(0, "moved")
--- a/internal/worker/renewal.go
+++ b/internal/worker/renewal.go
@@ -10,8 +10,8 @@
 
 // renewalGroup renews the leases of a gang together. It limits how long an incomplete gang can run, even if the owner
 // fails before it stops the gang: each member's lease ends at the latest TaskLease plus Margin after the last time at
-// which all members were confirmed to be running or completed. The response to a start is no confirmation, so that a gang
-// ends with its probation if a worker has confirmed a start that it did not carry out.
+// which all members were confirmed to be running or completed. The response to a start is no confirmation, so that a
+// gang ends with its probation if a worker has confirmed a start that it did not carry out.
 type renewalGroup struct {
 	manager *Manager
 	members []Member
@@ -67,8 +67,8 @@
 	}
 }
 
-// confirmedAt returns the last time at which the worker listed the task of a lease as running. It returns now if the task
-// has completed, and the zero time if it has not been listed or has ended in another way.
+// confirmedAt returns the last time at which the worker listed the task of a lease as running. It returns now if the
+// task has completed, and the zero time if it has not been listed or has ended in another way.
 func (session *session) confirmedAt(id fleet.LeaseID, now time.Time) time.Time {
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -69,8 +69,8 @@
 type Location struct {
 	Worker      fleet.WorkerID `json:"worker_id,omitempty"`
 	Incarnation Incarnation    `json:"incarnation,omitempty"`
-	// Address is where the worker took orders. A controller that no longer finds the worker's entry can ask there whether
-	// the incarnation still exists.
+	// Address is where the worker took orders. A controller that no longer finds the worker's entry can ask there
+	// whether the incarnation still exists.
 	Address string `json:"address,omitempty"`
 }
 
@@ -145,8 +145,8 @@
 	return record
 }
 
-// Matches reports whether the record is one of the job: it has the same numbers of occurrences, steps and tasks, a known
-// state, and tasks that this package can have written.
+// Matches reports whether the record is one of the job: it has the same numbers of occurrences, steps and tasks, a
+// known state, and tasks that this package can have written.
 func (record *Record) Matches(job workload.Job) bool {
 	if len(record.Occurrences) != job.Schedule.Occurrences() || !record.State.Valid() {
 		return false
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -267,8 +267,8 @@
 // maxTasks limits the tasks of one step, so that a job's record stays below the maximum value size of the store.
 const maxTasks = 4096
 
-// maxAmount limits each resource amount of a task. It is far above what a worker has, and sums over the tasks of many jobs
-// stay far below the largest integer.
+// maxAmount limits each resource amount of a task. It is far above what a worker has, and sums over the tasks of many
+// jobs stay far below the largest integer.
 const maxAmount = 1 << 32
 
 func (step Step) check(index int) error {
