--- a/review/2/main.go
+++ b/review/2/main.go
@@ -46,21 +46,22 @@
 	return judge(deployment), nil
 }
 
-// crashUnder crashes the worker of a member of the gang once all members have worked for a while. It returns false if
-// they do not in 20 s.
+// crashUnder crashes the worker of one member of the gang once all members have worked for a while. It returns false if
+// they do not in 20 s. Each call names another member, so that no task meets two crashes.
 func crashUnder(deployment *stand.Deployment, member int) bool {
 	for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(20 * time.Millisecond) {
-		var working []standin.Run
+		working := map[string]standin.Run{}
 		for _, run := range deployment.JobRuns(job) {
 			if !run.Over() && time.Since(run.Began) > worked {
-				working = append(working, run)
+				working[run.Task] = run
 			}
 		}
 		if len(working) < members {
 			continue
 		}
+		struck := working[fmt.Sprintf("%s.0.0.%d", job, member)]
 		for _, worker := range deployment.Workers {
-			if worker.ID == working[member%members].Worker {
+			if worker.ID == struck.Worker {
 				deployment.CrashFor(worker, downTime)
 				return true
 			}
