review 2: case 6, a job fails that no minion has ever started

The minion with the only room goes down and up by turns. Starts that could not be sent count as crashes that the task has caused, and the job is failed after the third. The earlier cases of this review move by one: 6 to 7, 7 to 8, 8 to 9.

--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -203,3 +203,61 @@
 	}
 	return nil
 }
+
+const (
+	// flapTime is how long a minion that goes down and up by turns is down, and how long it is up, flapTurns times.
+	flapTime  = 1400 * time.Millisecond
+	flapTurns = 4
+	smallMS   = 2500
+)
+
+// playFlappingMinion lets the one minion with room go down and up by turns while a job comes.
+func playFlappingMinion(deployment *deployment) error {
+	if err := deployment.fill(); err != nil {
+		return err
+	}
+	client, daemons := deployment.client, deployment.daemons
+	var flapping *minion
+	for _, minion := range deployment.minions {
+		if !minion.busy() {
+			flapping = minion
+		}
+	}
+	if deployment.trouble {
+		flapping.crash()
+	}
+	time.Sleep(flapTime / 4)
+	job := jobBody{Spec: work{RunMS: smallMS}.spec(), Steps: []step{{
+		Count: 1, CPU: 3700, Memory: 7600, GPU: 8, Estimate: smallMS,
+	}}}
+	if err := client.submit(daemons[1], second, watchedID, job); err != nil {
+		return err
+	}
+	check := func(n int) {
+		_, state := client.state(daemons[n%len(daemons)], second, watchedID)
+		if state == "failed" || state == "cancelled" {
+			deployment.record.broken("job %s, which nobody has cancelled, is shown as %s after %d starts and %d ends failed;"+
+				" it has %d attempts", watchedID, state, deployment.record.startsOf(watchedID),
+				deployment.record.endsOf(watchedID, "failed"), maxAttempts)
+		}
+	}
+	time.Sleep(flapTime * 3 / 4)
+	for n := range flapTurns {
+		if deployment.trouble && n > 0 {
+			flapping.crash()
+			time.Sleep(flapTime)
+		}
+		if deployment.trouble {
+			if err := flapping.start(); err != nil {
+				return err
+			}
+		}
+		check(n)
+		time.Sleep(flapTime)
+	}
+	for n := range 15 {
+		time.Sleep(time.Second)
+		check(n)
+	}
+	return nil
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -31,9 +31,10 @@
 }
 
 var cases = map[string]func(*deployment) error{
-	"6": playCrashes,
-	"7": playLostMinion,
-	"8": playLargeJob,
+	"6": playFlappingMinion,
+	"7": playCrashes,
+	"8": playLostMinion,
+	"9": playLargeJob,
 }
 
 func main() { os.Exit(run()) }
@@ -83,6 +84,7 @@
 	daemonCount = 3
 	minionCount = 8
 	perRack     = 6
+	maxAttempts = 3
 	service     = "huvo11a"
 	tenantKey   = "d4a3hwrr6x73d3zji9n7"
 )
@@ -98,7 +100,7 @@
 	route := func(queue queue, priority int) map[string]any {
 		return map[string]any{
 			"name": queue.name, "host": host, "prefix": queue.prefix, "kind": "non_idempotent", "timeout_ms": 3000,
-			"target_duration_ms": 1000, "priority": priority, "service": service, "max_attempts": 2, "stretch": 3.0,
+			"target_duration_ms": 1000, "priority": priority, "service": service, "max_attempts": maxAttempts, "stretch": 3.0,
 			"public": false,
 		}
 	}
