review 2: case 7, one crash keeps a fleet from all other work

After a minion has crashed once under the eight tasks of a service, each of them has a minion to itself until it has worked for longer than before the crash. Jobs of priority 0 within the guarantee do not start. The cases after it move by one. The stand-in ends its daemons when it is ended itself.

--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -261,3 +261,91 @@
 	}
 	return nil
 }
+
+const (
+	// serviceTime is how long a service works until its minion crashes.
+	serviceTime = 60 * time.Second
+	urgentJobs  = 4
+	settleTime  = 6 * time.Second
+	// finish is the time after the end of the traffic from which on no job may wait for idle that there is room for twice.
+	finish    = 14 * time.Second
+	urgentMS  = 40000
+	urgentGPU = 7
+)
+
+// playSuspects lets one minion crash once under the tasks of a service, which others' urgent jobs follow.
+func playSuspects(deployment *deployment) error {
+	client, daemons := deployment.client, deployment.daemons
+	service := jobBody{Spec: work{GPU: 1}.spec(), Steps: []step{{
+		Count: 8, CPU: 1000, Memory: 1000, GPU: 1, Estimate: 11000, LongRunning: true,
+	}}}
+	if err := client.submit(daemons[0], steady, fillerID, service); err != nil {
+		return err
+	}
+	first := fillerID + ".0.0.0"
+	if !await(5*time.Second, func() bool { return running(deployment.minions, first) != "" }) {
+		return fmt.Errorf("task %s does not run", first)
+	}
+	time.Sleep(serviceTime)
+	crashing := deployment.minionNamed(running(deployment.minions, first))
+	if deployment.trouble {
+		crashing.crash()
+		time.Sleep(downTime)
+		if err := crashing.start(); err != nil {
+			return err
+		}
+	}
+	// The disruption is over for longer than stable_window_ms when the urgent jobs come.
+	time.Sleep(settleTime)
+	job := jobBody{Spec: work{RunMS: urgentMS, GPU: urgentGPU}.spec(), Steps: []step{{
+		Count: 1, CPU: 3700, Memory: 7600, GPU: urgentGPU, Estimate: urgentMS,
+	}}}
+	for n := range urgentJobs {
+		if err := client.submit(daemons[n%len(daemons)], urgent, fmt.Sprintf("%015x%d", 0x3b9a61f04c2d7, n), job); err != nil {
+			return err
+		}
+	}
+	handedIn := time.Now()
+	for time.Since(handedIn) < finish+6*time.Second {
+		time.Sleep(time.Second)
+		waiting := 0
+		for n := range urgentJobs {
+			id := fmt.Sprintf("%015x%d", 0x3b9a61f04c2d7, n)
+			client.state(daemons[n%len(daemons)], urgent, id)
+			if deployment.record.startsOf(id) == 0 {
+				waiting++
+			}
+		}
+		roomy, used := deployment.room(urgentGPU)
+		passed := time.Since(handedIn)
+		deployment.record.write("%.1f s after the last job: %d of %d urgent jobs have not begun, %d minions have %d GPUs free,"+
+			" %d of %d GPUs are in use", passed.Seconds(), waiting, urgentJobs, roomy, urgentGPU, used, minionGPUs*minionCount)
+		if passed > finish+calm && waiting > 0 && roomy >= 2 && 2*used < minionGPUs*minionCount {
+			deployment.record.broken("%d of %d accepted jobs of priority 0 have not begun %.1f s after the end of the traffic,"+
+				" with room for each on %d minions and %d of %d GPUs in use", waiting, urgentJobs, passed.Seconds(), roomy, used,
+				minionGPUs*minionCount)
+		}
+	}
+	return nil
+}
+
+const minionGPUs = 8
+
+// room returns how many minions have the given number of GPUs free, and how many GPUs are in use.
+func (deployment *deployment) room(gpus int) (minions, used int) {
+	for _, minion := range deployment.minions {
+		minion.mu.Lock()
+		taken := 0
+		for _, run := range minion.runs {
+			if !run.over {
+				taken += run.work.GPU
+			}
+		}
+		if minion.up && minionGPUs-taken >= gpus {
+			minions++
+		}
+		used += taken
+		minion.mu.Unlock()
+	}
+	return minions, used
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -31,10 +33,11 @@
 }
 
 var cases = map[string]func(*deployment) error{
-	"6": playFlappingMinion,
-	"7": playCrashes,
-	"8": playLostMinion,
-	"9": playLargeJob,
+	"6":  playFlappingMinion,
+	"7":  playSuspects,
+	"8":  playCrashes,
+	"9":  playLostMinion,
+	"10": playLargeJob,
 }
 
 func main() { os.Exit(run()) }
@@ -62,6 +65,7 @@
 	}
 	played := &deployment{root: os.Args[1], record: record, trouble: os.Getenv("TROUBLE") != "0"}
 	defer played.stop()
+	played.stopOnSignal()
 	err = played.start(folder)
 	if err == nil {
 		err = cases[os.Args[2]](played)
@@ -91,9 +95,10 @@
 
 var (
 	zones = []string{"ngara", "gikomba", "kariakor"}
-	// steady and second are the queues of the cases.
+	// steady and second are queues of priority 1, and urgent is one of priority 0.
 	steady = queue{name: "r-7ejsmzz", prefix: "/lohu930/"}
 	second = queue{name: "r-jwyy7yx", prefix: "/pule252/"}
+	urgent = queue{name: "r-yyjsg3a", prefix: "/pufi791/"}
 )
 
 func configuration() map[string]any {
@@ -105,7 +110,7 @@
 		}
 	}
 	return map[string]any{
-		"version": 7, "routes": []any{route(steady, 1), route(second, 1)},
+		"version": 7, "routes": []any{route(steady, 1), route(second, 1), route(urgent, 0)},
 		"services": []any{map[string]any{
 			"name": service, "health_path": "/health", "max_connections": 64, "protocol": "h1", "tls": false,
 			"admission_control": false, "standby": false,
@@ -114,7 +119,7 @@
 			"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
 		"tenants": []any{map[string]any{
-			"name": "kaje80", "api_keys": []string{tenantKey}, "priority": 1, "guaranteed": map[string]int{"gpu": 16},
+			"name": "kaje80", "api_keys": []string{tenantKey}, "priority": 1, "guaranteed": map[string]int{"gpu": 32},
 		}},
 	}
 }
@@ -165,6 +170,17 @@
 	return nil
 }
 
+// stopOnSignal ends all processes that the case has started, and the case, if the case is told to end early.
+func (deployment *deployment) stopOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		deployment.stop()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // stop ends all processes that the case has started.
 func (deployment *deployment) stop() {
 	for _, daemon := range deployment.daemons {
--- a/review/stand2/minion.go
+++ b/review/stand2/minion.go
@@ -41,6 +41,8 @@
 	FailMS []int64 `json:"fail_ms,omitempty"`
 	// Gang is the number of tasks that work only together; 0 means that they do not depend on one another.
 	Gang int `json:"gang,omitempty"`
+	// GPU is what the task takes of its minion, for the record.
+	GPU int `json:"gpu,omitempty"`
 }
 
 // minion stands in for one minion of the platform. It guards nothing, as with admission_control = false.
