Evacuate data centres that operators ask to be emptied

Change: pkg/evacuation holds the requests and how long they have been confirmed; the controller follows them through the store, checks them in the plan, for claims and when a stored start is sent, moves work that stays for long, and takes data centres back gradually. MaxUnavailable of a step now bounds preemption and moves.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,6 +20,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/internal/term"
 	"github.com/quetzalstall/quetzalstall/pkg/catalog"
+	"github.com/quetzalstall/quetzalstall/pkg/evacuation"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
@@ -34,6 +35,12 @@
 	// WorkerPrefix is the key prefix of the workers' entries in the store, and DecodeWorker decodes an entry.
 	WorkerPrefix string
 	DecodeWorker func(keyvalue.Item) (WorkerEntry, error)
+	// EvacuationPrefix is the key prefix of the requests to evacuate data centres; empty if the deployment has none.
+	// DecodeEvacuation returns the data centre that an item names; MaxEvacuationAge is the age of the latest confirmation
+	// of the requests from which on no task starts.
+	EvacuationPrefix string
+	DecodeEvacuation func(keyvalue.Item) (fleet.DataCentreID, error)
+	MaxEvacuationAge time.Duration
 	// Catalog returns the configuration in force, or nil before the first one is loaded.
 	Catalog func() *catalog.Catalog
 	Clock   term.Clock
@@ -131,6 +138,11 @@
 	// backgroundCrashes are the times of the recent crashes of workers for which no run can be to blame.
 	backgroundCrashes []time.Duration
 	advice            advice
+	// evacuations are the requests to evacuate data centres, and invalidEvacuations the items that name none.
+	evacuations        evacuation.Requests
+	invalidEvacuations *keyvalue.InvalidItems
+	// startsBlocked is set while no task starts because the evacuations have not been confirmed lately.
+	startsBlocked bool
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// pendingCommits has the times at which the transactions without a known outcome were sent, by the numbers of their
@@ -164,6 +176,9 @@
 			"invalid status document", "status document is valid again"),
 		invalidEntries: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid worker entry; the worker counts as not listed", "worker entry is valid again"),
+		evacuations: evacuation.Requests{MaxAge: controller.MaxEvacuationAge},
+		invalidEvacuations: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
+			"invalid evacuation request", "evacuation request is valid again"),
 		pendingCommits: map[int64]time.Duration{},
 		advice:         advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
@@ -254,6 +269,9 @@
 		if records, err = loop.list(ledger.RecordPrefix); err == nil {
 			statuses, err = loop.list(ledger.LivePrefix)
 		}
+		if err == nil {
+			err = loop.loadEvacuations()
+		}
 		if err == nil {
 			jobs, err = loop.list(ledger.JobPrefix)
 		}
@@ -321,6 +339,7 @@
 	}
 	loop.group.Go(func() error { return jobs.Run(loop.ctx) })
 	loop.group.Go(func() error { return workers.Run(loop.ctx) })
+	loop.watchEvacuations()
 }
 
 func (loop *dispatcher) closeLinks() {
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -16,6 +16,10 @@
 	Token   int64        `json:"token"`
 	Jobs    []JobDump    `json:"jobs"`
 	Workers []WorkerDump `json:"workers"`
+	// Evacuations are the evacuated data centres, and EvacuationsAgeMS is the time since the store confirmed that there
+	// are no others; -1 if it never did.
+	Evacuations      []EvacuationDump `json:"evacuations"`
+	EvacuationsAgeMS int64            `json:"evacuations_age_ms"`
 	// Claims are the units with claimed capacity, as job.occurrence.step.task.
 	Claims []string `json:"claims"`
 }
@@ -78,6 +82,7 @@
 	for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
 		dump.Workers = append(dump.Workers, loop.workers[id].dump(loop.clock()))
 	}
+	dump.Evacuations, dump.EvacuationsAgeMS = loop.dumpEvacuations()
 	for key := range loop.claims {
 		dump.Claims = append(dump.Claims, key.String())
 	}
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -94,16 +94,17 @@
 		loop.replaceLink(known, entry)
 	}
 	known.entry, known.listed, known.unreported = entry, true, false
+	known.evacuated = loop.evacuations.Evacuated(entry.DataCentre)
 	loop.recordReport(known)
 	switch {
 	case entry.Draining && !wasDraining:
 		loop.Logger.Info("worker draining", "worker", string(entry.ID), "runs", len(known.runs),
 			"remaining_ms", entry.Remaining.Milliseconds())
 	case wasDraining && !entry.Draining:
-		known.forgetEvacuation()
+		known.forgetDraining()
 	}
 	if entry.Draining {
-		loop.evacuate(known)
+		loop.stopBeforeLeaving(known)
 	}
 	if loop.capacityKnown(known) {
 		known.sendAwaiting()
@@ -178,11 +179,11 @@
 	restoredAssessment = 3 * time.Second
 )
 
-// evacuate stops the runs of a draining worker that are not expected to end before the worker leaves. Their tasks
+// stopBeforeLeaving stops the runs of a draining worker that are not expected to end before the worker leaves. Their tasks
 // resume elsewhere from their checkpoints. Without a checkpoint a task at least starts over sooner than if it ran until
 // the worker leaves. It is called at each report of a draining worker and judges each run once, because later the
 // little time that remains would make a small error of the estimate stop a run that is almost done.
-func (loop *dispatcher) evacuate(draining *worker) {
+func (loop *dispatcher) stopBeforeLeaving(draining *worker) {
 	for _, run := range draining.runs {
 		if run.stopping || run.judgedDraining || !run.assessable(loop.clock()) {
 			continue
@@ -196,14 +197,14 @@
 	}
 }
 
-// assessable reports whether evacuate can tell how long the run still needs. A run of a former controller can be almost
+// assessable reports whether stopBeforeLeaving can tell how long the run still needs. A run of a former controller can be almost
 // done, so that its declared run time says nothing until the end of restoredAssessment.
 func (run *run) assessable(now time.Duration) bool {
 	return !run.restored || run.step().LongRunning || now-run.startedAt >= restoredAssessment
 }
 
-// forgetEvacuation lets evacuate judge all runs again if the worker, which is no longer draining, drains once more.
-func (worker *worker) forgetEvacuation() {
+// forgetDraining lets stopBeforeLeaving judge all runs again if the worker, which is no longer draining, drains once more.
+func (worker *worker) forgetDraining() {
 	for _, run := range worker.runs {
 		run.judgedDraining = false
 	}
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -99,7 +99,8 @@
 	loop.dropEndedAdvice()
 	groups := loop.waitingGroups()
 	loop.dropClaims(groups)
-	if len(groups) == 0 {
+	leaving := loop.leavingUnits()
+	if len(groups) == 0 && len(leaving) == 0 || !loop.mayStart() {
 		return
 	}
 	planner := newPlanner(loop)
@@ -119,6 +120,7 @@
 	for _, group := range groups {
 		planner.startGroup(group)
 	}
+	planner.moveLeaving(leaving)
 }
 
 // group is the ready units of one step of one occurrence, at least one, with the values by which groups are sorted.
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -81,7 +81,8 @@
 	planner := &planner{loop: loop, now: loop.clock(), pools: map[fleet.ServiceName]*servicePool{}}
 	for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
 		worker := loop.workers[id]
-		if !worker.usable(planner.now) || worker.isolating(planner.now) {
+		if !worker.usable(planner.now) || worker.isolating(planner.now) ||
+			!loop.evacuations.Allows(worker.entry.DataCentre, id, planner.now) {
 			continue
 		}
 		entry := worker.entry
--- a/internal/control/preempt.go
+++ b/internal/control/preempt.go
@@ -36,6 +36,10 @@
 			continue
 		}
 		victims := planner.victims(places, wanted.Each, candidate.job.policy.Priority, gangs)
+		if !keepsAvailability(victims, planner.now) {
+			view.rejected = append(view.rejected, wanted)
+			continue
+		}
 		if totalLoss(victims, planner.now) <= limit {
 			planner.claim(pool, candidate, wanted, places, victims)
 			return true
@@ -61,7 +65,7 @@
 	view := pool.preemptible[scope]
 	if view == nil {
 		created := pool.copyWorkers(func(worker *placement.Worker) {
-			worker.Reclaimable = planner.loop.workers[worker.ID].preemptibleCapacity(scope)
+			worker.Reclaimable = planner.loop.workers[worker.ID].preemptibleCapacity(scope, planner.now)
 		})
 		view = &created
 		pool.preemptible[scope] = view
@@ -101,10 +105,10 @@
 
 // preemptibleCapacity returns the capacity of the runs in the scope. Runs that are already stopping count too, because
 // their capacity becomes free anyway.
-func (worker *worker) preemptibleCapacity(scope preemptionScope) workload.Resources {
+func (worker *worker) preemptibleCapacity(scope preemptionScope, now time.Duration) workload.Resources {
 	var capacity workload.Resources
 	for _, run := range worker.runs {
-		if run.stopping || run.preemptible(scope.priority, scope.gangs) {
+		if run.stopping || run.preemptible(scope.priority, scope.gangs, now) {
 			capacity = capacity.Add(run.need)
 		}
 	}
@@ -137,8 +141,8 @@
 
 // preemptible reports whether jobs of a priority may preempt the run. If gangs is not set, members of gangs are not
 // preemptible.
-func (run *run) preemptible(priority workload.Priority, gangs bool) bool {
-	return !run.stopping && run.job.policy.Priority > priority && (gangs || !run.step().Gang)
+func (run *run) preemptible(priority workload.Priority, gangs bool, now time.Duration) bool {
+	return !run.stopping && run.job.policy.Priority > priority && (gangs || !run.step().Gang) && run.mayBeStopped(now)
 }
 
 // preemptibleRuns returns the runs that jobs of a priority may preempt. The least urgent runs come first, and among
@@ -146,7 +150,7 @@
 func (worker *worker) preemptibleRuns(priority workload.Priority, gangs bool, now time.Duration) []*run {
 	var runs []*run
 	for _, run := range worker.runs {
-		if run.preemptible(priority, gangs) {
+		if run.preemptible(priority, gangs, now) {
 			runs = append(runs, run)
 		}
 	}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -159,6 +159,9 @@
 // does not prove that a run which is missing from it is lost.
 const maxListedEnds = 500
 
+// fullPercent is the progress of a task that lasts once it is at work.
+const fullPercent = 100
+
 // checkRunning handles the runs that a worker lists as running. It stops runs that are not placed there, records
 // checkpoints, moves slow runs and adjusts the shares of best-effort runs. It ends the placed runs that the listing
 // should contain but lacks.
@@ -181,6 +184,7 @@
 			known.firstListed = loop.clock()
 			known.job.record.Begun = true
 		}
+		known.working, known.listedAt = status.Percent >= fullPercent, loop.clock()
 		loop.clearSuspicion(known, sent)
 		verdicts[known] = known.assess(listing.Clock, status.Percent)
 		listed = append(listed, known)
@@ -305,6 +309,10 @@
 		loop.endUnstarted(placed, "not started")
 		return
 	}
+	if cause, ok := loop.blockedByEvacuation(worker); ok {
+		loop.endUnstarted(placed, cause)
+		return
+	}
 	// While the replacement of the link waits, a start would reach the next incarnation with a deadline by the clock of the
 	// former one, and its lease might not end.
 	if _, contested := loop.contested[worker.entry.ID]; contested || !worker.settled {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -120,7 +120,7 @@
 	stopConfirmedAt time.Duration
 	// stopsWithoutEffect counts the confirmed stops after which the worker still listed the run.
 	stopsWithoutEffect int
-	// judgedDraining is set once the run was judged by evacuate since its worker began to drain.
+	// judgedDraining is set once the run was judged by stopBeforeLeaving since its worker began to drain.
 	judgedDraining bool
 	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
 	restored bool
@@ -147,6 +147,10 @@
 	// isolated is set for a run that has its worker to itself until it is cleared, because workers crashed under
 	// earlier runs of its task.
 	isolated bool
+	// working is set while the latest listing shows that the run has finished its startup, and listedAt is the time at
+	// which that listing arrived; 0 before the first one.
+	working  bool
+	listedAt time.Duration
 	// listedAfter is the local time after which a requested listing must contain the run or its end. It is 0 while that
 	// time is unknown, before the worker has confirmed the start or the stop of the run.
 	listedAfter time.Duration
@@ -168,6 +172,8 @@
 	// unreported is set while the present incarnation is known by its response to a poll only. It may be of another kind
 	// than the former one, so that its capacity and labels are not known.
 	unreported bool
+	// evacuated is set while the evacuation of the worker's data centre is requested.
+	evacuated bool
 	// settled is set once the worker has responded to a poll of its present link. Until then, runs that this term has
 	// neither placed nor restored may occupy the worker.
 	settled bool
@@ -269,6 +275,7 @@
 // usable reports whether new tasks may start on the worker.
 func (worker *worker) usable(now time.Duration) bool {
 	return worker.listed && worker.settled && !worker.unreported && !worker.unresponsive && !worker.entry.Draining &&
+		!worker.evacuated &&
 		worker.health.Available(now) && len(worker.unexpected) == 0
 }
 
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -27,6 +27,10 @@
 	// RetryPause is the delay before the retry of a failed call.
 	RetryPause time.Duration
 	Logger     hclog.Logger
+	// Confirm may be nil. It is called after Apply: at the time at, a reading of Clock, the store had no changes under the
+	// prefix but those that were passed to Apply.
+	Confirm func(at time.Duration)
+	Clock   func() time.Duration
 
 	lastContact atomic.Int64
 	synced      atomic.Bool
@@ -63,6 +67,7 @@
 
 func (mirror *Mirror) list(ctx context.Context) (Revision, error) {
 	for {
+		sentAt := mirror.now()
 		items, after, err := mirror.Store.List(ctx, mirror.Prefix)
 		if err == nil {
 			changes := make([]Change, len(items))
@@ -70,6 +75,7 @@
 				changes[i] = Change{Item: item}
 			}
 			mirror.Apply(changes, true)
+			mirror.confirm(sentAt)
 			mirror.recordContact()
 			mirror.synced.Store(true)
 			return after, nil
@@ -89,12 +95,16 @@
 			// With a wait of 0 the store responds at once, so that its recovery is detected as early as possible.
 			wait = 0
 		}
+		sentAt := mirror.now()
 		changes, next, err := mirror.Store.Watch(ctx, mirror.Prefix, after, wait)
 		if err == nil {
 			mirror.recordContact()
 			if len(changes) > 0 {
 				mirror.Apply(changes, false)
+				wait = 0
 			}
+			// Without changes, the store held the call for the whole wait.
+			mirror.confirm(min(sentAt+wait, mirror.now()))
 			return max(next, after), nil
 		}
 		if errors.Is(err, ErrCompacted) {
@@ -108,6 +118,19 @@
 	}
 }
 
+func (mirror *Mirror) now() time.Duration {
+	if mirror.Clock == nil {
+		return 0
+	}
+	return mirror.Clock()
+}
+
+func (mirror *Mirror) confirm(at time.Duration) {
+	if mirror.Confirm != nil {
+		mirror.Confirm(at)
+	}
+}
+
 func (mirror *Mirror) pauseBeforeRetry(ctx context.Context, cause error) error {
 	if ctx.Err() == nil && !mirror.storeLost {
 		mirror.storeLost = true
--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -106,8 +106,8 @@
 	BestEffortCPU bool `json:"fills,omitempty"`
 	// TailTarget is the limit that the tail latency of a long-running task must stay below; 0 is no limit.
 	TailTarget time.Duration `json:"tail_target,omitempty"`
-	// MaxUnavailable is the number of long-running tasks that may be kept from running at the same time. It is stored
-	// with the job, but no placement or preemption depends on it.
+	// MaxUnavailable is the number of long-running tasks that the scheduler may keep from running at the same time by its
+	// own orders; 0 means that nothing is promised.
 	MaxUnavailable int `json:"may_miss,omitempty"`
 }
 
