Scheduler: place nothing in evacuated data centres, and move what loses little

Operators need to take a data centre out of use without stopping its work. A configuration now names the evacuated data centres. Jobs that fit only there wait; the explanation names the data centre.

The checks of guarantees and of feasibility ignore evacuations, since they end. Without evacuations no decision changes.

--- a/internal/bench/baseline_decide.go
+++ b/internal/bench/baseline_decide.go
@@ -157,6 +157,9 @@
 // ExplainOrganisation returns nothing, since baselines give no explanations.
 func (baseline *baseline) ExplainOrganisation(fleet.OrganisationID) []string { return nil }
 
+// EvacuatedWork returns nothing, since baselines know no evacuations.
+func (baseline *baseline) EvacuatedWork(time.Time) []scheduler.EvacuatedWork { return nil }
+
 // Dump returns the sizes of the queues.
 func (baseline *baseline) Dump() any {
 	return map[string]int{"waiting": len(baseline.waiting), "placed": len(baseline.placed)}
--- a/internal/domain/fifo_test.go
+++ b/internal/domain/fifo_test.go
@@ -197,6 +197,7 @@
 	return []string{"waits for free accelerators"}
 }
 func (core *fifoScheduler) ExplainOrganisation(fleet.OrganisationID) []string { return nil }
+func (core *fifoScheduler) EvacuatedWork(time.Time) []scheduler.EvacuatedWork { return nil }
 func (core *fifoScheduler) Dump() any {
 	jobs := make(map[string]any)
 	for key, entry := range core.jobs {
--- a/pkg/profile/profile.go
+++ b/pkg/profile/profile.go
@@ -132,6 +132,16 @@
 	Revision fleet.Revision `json:"revision"`
 	// Organisations maps the id of an organisation to its document.
 	Organisations map[fleet.OrganisationID]*Organisation `json:"organisations"`
+	// Evacuations holds the evacuated data centres, on whose workers nothing is started. It is nil if there are none.
+	Evacuations map[fleet.DataCentreID]Evacuation `json:"evacuations,omitempty"`
+}
+
+// Evacuation is the request that nothing more is started on the workers of a data centre.
+type Evacuation struct {
+	// Since is when the request was accepted.
+	Since time.Time `json:"since"`
+	// Revision is the revision of the configuration that first contained the request.
+	Revision fleet.Revision `json:"revision"`
 }
 
 // Lookup returns the profile of an organisation with the given name.
--- a/pkg/scheduler/cells.go
+++ b/pkg/scheduler/cells.go
@@ -31,7 +31,7 @@
 
 // configChanged applies a newer configuration. Existing cells that it still guarantees keep their accelerators; among
 // cells of the same kind, bound ones are kept first.
-func (core *Core) configChanged(config *profile.Config) {
+func (core *Core) configChanged(now time.Time, config *profile.Config) {
 	if config == nil || core.config != nil && config.Revision < core.config.Revision {
 		return
 	}
@@ -59,6 +59,7 @@
 			core.unbound = append(core.unbound, fresh)
 		}
 	}
+	core.evacuationsChanged(now)
 	core.recheckFeasibility = true
 	core.repack = true
 	core.capacityFreed()
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -66,6 +66,7 @@
 	budgetUpdated  time.Time
 	lastCompaction time.Time
 	nextCompaction time.Time
+	evacuation     evacuationState
 	// decisions collects what the next call of Decide returns.
 	decisions []Decision
 	history   history
@@ -108,7 +109,7 @@
 	case FleetChanged:
 		core.fleetChanged(event.Workers)
 	case ConfigChanged:
-		core.configChanged(event.Config)
+		core.configChanged(now, event.Config)
 	case JobSubmitted:
 		core.jobSubmitted(now, event.Job)
 	case JobCancelled:
@@ -135,6 +136,7 @@
 func (core *Core) Decide(now time.Time) []Decision {
 	core.accrueLossBudget(now)
 	core.readmit(now)
+	core.returnWorkers(now)
 	core.bindCells(now)
 	core.stopOverruns(now)
 	core.escalate(now)
@@ -143,6 +145,7 @@
 	core.dropUnusableReservations()
 	if core.ready() {
 		core.schedule(now)
+		core.moveEvacuated(now)
 	}
 	decided := core.decisions
 	core.decisions = nil
@@ -175,5 +178,8 @@
 	if core.quarantinedWorkers > 0 {
 		earliest(core.nextReadmission())
 	}
+	if at := core.evacuation.nextWake(); !at.IsZero() {
+		earliest(at)
+	}
 	return wake
 }
--- a/pkg/scheduler/dump.go
+++ b/pkg/scheduler/dump.go
@@ -23,6 +23,11 @@
 	Free        int64          `json:"free_accelerators"`
 	Open        int64          `json:"open_accelerators"`
 	Steps       uint64         `json:"steps"`
+	// Evacuated lists the evacuated data centres of the domain, and Moving counts the gangs that are being moved.
+	Evacuated []fleet.DataCentreID `json:"evacuated_data_centres,omitempty"`
+	Moving    int                  `json:"moving"`
+	// EvacuatedAccelerators counts the accelerators that are still in use in evacuated data centres.
+	EvacuatedAccelerators fleet.Accelerators `json:"evacuated_accelerators_in_use"`
 
 	Organisations []OrganisationState `json:"organisations"`
 	Shortfalls    []Shortfall         `json:"shortfalls"`
@@ -63,6 +68,15 @@
 		state.Free += zone.totals[viewFree]
 		state.Open += zone.totals[viewOpen]
 	}
+	for _, zone := range core.evacuatedZones() {
+		state.Evacuated = append(state.Evacuated, zone.id)
+		state.EvacuatedAccelerators += zone.inUse()
+	}
+	for _, gang := range core.evicting {
+		if gang.moving {
+			state.Moving++
+		}
+	}
 	for _, owner := range core.organisations[:min(len(core.organisations), dumpOrganisations)] {
 		state.Organisations = append(state.Organisations, OrganisationState{
 			owner.id, owner.guaranteed, owner.held, owner.queue.waiting, owner.account.value,
@@ -71,3 +85,17 @@
 	state.Shortfalls = state.Shortfalls[:min(len(state.Shortfalls), dumpShortfalls)]
 	return state
 }
+
+// inUse counts the accelerators that gangs use in the data centre.
+func (zone *zone) inUse() fleet.Accelerators {
+	var used fleet.Accelerators
+	for _, machine := range zone.workers {
+		if machine == nil {
+			continue
+		}
+		for _, gang := range machine.gangs {
+			used += gang.shape().Accelerators * fleet.Accelerators(machine.membersOf(gang))
+		}
+	}
+	return used
+}
--- a/pkg/scheduler/eviction.go
+++ b/pkg/scheduler/eviction.go
@@ -54,6 +54,7 @@
 		core.releaseEvicting(job)
 	}
 	job.eviction = evictionNone
+	job.moving = false
 	core.evicting = slices.DeleteFunc(core.evicting, func(other *jobState) bool { return other == job })
 }
 
--- a/pkg/scheduler/explain.go
+++ b/pkg/scheduler/explain.go
@@ -29,6 +29,10 @@
 		state = "is being started"
 	}
 	lines := []string{fmt.Sprintf("attempt %d %s on %d workers: %s", job.attempt, state, len(job.holdings), job.reason)}
+	if len(job.holdings) > 0 && core.isEvacuated(job.holdings[0].worker.DataCentre) {
+		lines = append(lines, fmt.Sprintf("data centre %s is evacuated: %s",
+			job.holdings[0].worker.DataCentre, core.evacuationReason(core.budgetUpdated, job)))
+	}
 	switch {
 	case job.cancelled:
 		lines = append(lines, "it was cancelled and waits for its members to confirm the stop")
@@ -56,6 +60,12 @@
 func (core *Core) explainWaiting(job *jobState) []string {
 	owner := job.organisation
 	lines := []string{fmt.Sprintf("waits for %s", job.shape())}
+	evacuations := core.explainEvacuations(job)
+	if len(evacuations) > 0 {
+		// The first line is also the reason in the status that callers read.
+		lines[0] += ": " + evacuations[0]
+		lines = append(lines, evacuations[1:]...)
+	}
 	switch {
 	case core.config == nil:
 		return append(lines, "no configuration has been received yet")
@@ -137,6 +147,9 @@
 		fmt.Sprintf("in cells: %d in use by the organisation, %d lent to others, %d free", used, lent, free),
 		fmt.Sprintf("in use in all: %d; waiting jobs: %d", owner.held, owner.queue.waiting),
 	}
+	for _, zone := range core.evacuatedZones() {
+		lines = append(lines, fmt.Sprintf("data centre %s is evacuated, so that no guarantee is bound there", zone.id))
+	}
 	for _, shortfall := range core.shortfalls() {
 		if shortfall.Organisation == id {
 			lines = append(lines,
--- a/pkg/scheduler/inventory.go
+++ b/pkg/scheduler/inventory.go
@@ -65,6 +65,7 @@
 	machine.Worker = listed
 	machine.capacity = capacityOf(listed)
 	machine.present = true
+	machine.evacuated = core.isEvacuated(listed.DataCentre)
 	if machine.zone == nil {
 		core.zone(listed.DataCentre).insert(machine)
 	}
--- a/pkg/scheduler/job_state.go
+++ b/pkg/scheduler/job_state.go
@@ -72,6 +72,8 @@
 	overrun    bool
 	eviction   eviction
 	evictionAt time.Time
+	// moving is true while the gang is being evicted to continue outside its evacuated data centre.
+	moving bool
 	// skipGrace is set when a gang that was evicted for the job's claim ignored its stop. If the job is urgent, the
 	// gangs that are evicted for it from then until it is placed are stopped without a grace period.
 	skipGrace bool
--- a/pkg/scheduler/pack.go
+++ b/pkg/scheduler/pack.go
@@ -78,12 +78,12 @@
 }
 
 // newPackedCore returns a core without jobs that has bound the cells of a configuration. The number of rounds replaces
-// packRounds.
+// packRounds. Evacuations are ignored: they end, and must neither block edits of guarantees nor make jobs infeasible.
 func newPackedCore(config *profile.Config, workers []fleet.Worker, rounds int) *Core {
 	core := NewCore(Settings{})
 	core.packRounds = rounds
 	core.fleetChanged(workers)
-	core.configChanged(config)
+	core.configChanged(time.Time{}, withoutEvacuations(config))
 	core.bindCells(time.Time{})
 	return core
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -31,6 +31,8 @@
 	// ExplainOrganisation describes how many accelerators of an organisation's guarantees are in use, lent to others or
 	// free, and which guarantees are not bound to accelerators.
 	ExplainOrganisation(id fleet.OrganisationID) []string
+	// EvacuatedWork returns the work that still runs in evacuated data centres, with the reasons.
+	EvacuatedWork(now time.Time) []EvacuatedWork
 	// Dump returns a snapshot of bounded size that marshals to JSON.
 	Dump() any
 }
--- a/pkg/scheduler/worker.go
+++ b/pkg/scheduler/worker.go
@@ -29,6 +29,8 @@
 	// present is false if the worker has left the fleet. Its state is kept while gangs or claims still refer to it.
 	present bool
 	lost    bool
+	// evacuated is true while the worker's data centre is evacuated, and after that until the worker's turn to return.
+	evacuated bool
 	// refused is set when the worker refused a placement. The next WorkerFound event clears it.
 	refused bool
 	// foreign counts the accelerators held by leases of which the core has no record.
@@ -53,7 +55,7 @@
 
 // mayHoldCells reports whether cells may be bound to the worker.
 func (worker *worker) mayHoldCells() bool {
-	return worker.present && !worker.lost && !worker.Leaving && !worker.health.quarantined
+	return worker.present && !worker.lost && !worker.Leaving && !worker.health.quarantined && !worker.evacuated
 }
 
 // usable reports whether the worker may get new work.
