Operators' API: evacuate a data centre, take it back, list the evacuations

The requests are part of the head of the configuration. They are therefore durable, numbered, distributed to every process within the bound of an edit, read before the first decision of a term, and written back after a store lost its history. A head without evacuations is encoded as before.

A request does not depend on the revision that the operator saw; it is tried again when another edit is accepted at the same time. An unknown data centre and one to take back that is not evacuated are answered with not_found, a malformed name with invalid_argument, a repeated evacuation with the time of the first one. Each owner lists what still runs there and why; an owner that does not answer is a problem in the list.

An owner now also applies another configuration of the revision in force, which exists after a store lost an edit. Before, it kept the lost one.

--- a/internal/domain/cluster_test.go
+++ b/internal/domain/cluster_test.go
@@ -46,6 +46,9 @@
 	workers map[fleet.WorkerID]*standin.Worker
 	clocks  map[fleet.WorkerID]*workerClock
 	fleet   fleet.Inventory
+	// prepare changes the service of a process before the process starts; nil changes nothing. Its context ends with the
+	// process.
+	prepare func(ctx context.Context, service *Service)
 
 	mutex sync.Mutex
 	// processes lists the processes in the order in which they become owners. A process sees the first one that is
@@ -149,6 +152,9 @@
 	service.Dial = func(machine fleet.Worker) worker.Client {
 		return workerLink{worker: cluster.workers[machine.ID], process: process}
 	}
+	if cluster.prepare != nil {
+		cluster.prepare(ctx, service)
+	}
 	process.service = service
 	cluster.mutex.Lock()
 	cluster.processes = append(cluster.processes, process)
--- a/internal/domain/fakes_test.go
+++ b/internal/domain/fakes_test.go
@@ -443,6 +443,12 @@
 	return callPeer(ctx, request, link.service.ExplainJob)
 }
 
+func (link peerLink) ListEvacuatedWork(
+	ctx context.Context, request *connect.Request[peerv1.ListEvacuatedWorkRequest],
+) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error) {
+	return callPeer(ctx, request, link.service.ListEvacuatedWork)
+}
+
 func (link peerLink) JobEnds(
 	ctx context.Context, request *connect.Request[peerv1.JobEndsRequest],
 ) (*connect.Response[peerv1.JobEndsResponse], error) {
--- a/internal/domain/metrics.go
+++ b/internal/domain/metrics.go
@@ -98,6 +98,8 @@
 	owner.gauge("workers_quarantined", int64(state.Quarantined))
 	owner.gauge("accelerators_free", state.Free)
 	owner.gauge("guarantee_shortfalls", int64(len(state.Shortfalls)))
+	owner.gauge("evacuated_data_centres", int64(len(state.Evacuated)))
+	owner.gauge("evacuated_accelerators_in_use", int64(state.EvacuatedAccelerators))
 	for _, organisation := range state.Organisations {
 		id := string(organisation.ID)
 		owner.gauge(metrics.Name("accelerators_held", "organisation", id), int64(organisation.Held))
--- a/internal/domain/owner.go
+++ b/internal/domain/owner.go
@@ -260,8 +260,10 @@
 // refresh passes a newer configuration and a newer list of the domain's workers to the core, and the workers also to
 // the manager, if this process has received them.
 func (owner *owner) refresh(now time.Time) {
-	if config := owner.service.Configs.Current(); config != nil &&
-		(owner.config == nil || config.Revision > owner.config.Revision) {
+	// Another configuration of the same revision replaces the one in force if the store lost an edit.
+	if config := owner.service.Configs.Current(); config != nil && config != owner.config &&
+		(owner.config == nil || config.Revision >= owner.config.Revision) {
+		owner.logEvacuations(config)
 		owner.config = config
 		owner.core.Apply(now, scheduler.ConfigChanged{Config: config})
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -248,6 +248,49 @@
 	}
 }
 
+// Guards against requests for evacuations that the process does not serve, and against an evacuation that does not keep
+// a job from starting.
+func TestEvacuationThroughOperatorAPI(t *testing.T) {
+	process := startNode(t, 0, "", authority.Files{})
+	process.apply(t)
+	ctx := context.Background()
+	_, err := process.admin.Evacuate(ctx, connect.NewRequest(&operatorv1.EvacuateRequest{DataCentre: "x"}))
+	if connect.CodeOf(err) != connect.CodeNotFound || !strings.Contains(err.Error(), "data centres with workers: d") {
+		t.Errorf("evacuation of an unknown data centre: %v", err)
+	}
+	response, err := process.admin.Evacuate(ctx, connect.NewRequest(&operatorv1.EvacuateRequest{DataCentre: "d"}))
+	if err != nil || response.Msg.Revision != 2 {
+		t.Fatalf("evacuation: %v, %v", response, err)
+	}
+	input := worker.Input{RunTimeMS: 100}
+	eventually(t, "the job is accepted", func() bool {
+		request := connect.NewRequest(&callerv1.SubmitRequest{
+			JobId: "j", Profile: "train", Caller: "c", Input: input.Encode(),
+		})
+		request.Header().Set("Authorization", "Bearer "+token)
+		_, err := process.calls.Submit(ctx, request)
+		return err == nil
+	})
+	eventually(t, "the explanation names the data centre", func() bool {
+		request := &operatorv1.ExplainRequest{Organisation: "org", JobId: "j"}
+		response, err := process.admin.Explain(ctx, connect.NewRequest(request))
+		return err == nil && strings.Contains(strings.Join(response.Msg.Lines, "\n"), "data centre d is evacuated")
+	})
+	eventually(t, "the list is complete", func() bool {
+		response, err := process.admin.ListEvacuations(ctx, connect.NewRequest(&operatorv1.ListEvacuationsRequest{}))
+		return err == nil && len(response.Msg.Evacuations) == 1 && response.Msg.Evacuations[0].Workers == 1 &&
+			len(response.Msg.Evacuations[0].Problems) == 0
+	})
+	if runs := process.standins.WorkerRecord.Runs(); len(runs) != 0 {
+		t.Errorf("%d members ran in the evacuated data centre", len(runs))
+	}
+	request := &operatorv1.TakeBackRequest{DataCentre: "d"}
+	if _, err := process.admin.TakeBack(ctx, connect.NewRequest(request)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the job runs", func() bool { return len(process.standins.WorkerRecord.Runs()) == 2 })
+}
+
 // Guards against an operators' API that serves requests with a missing or wrong token although a token is configured.
 func TestOperatorAPIRequiresToken(t *testing.T) {
 	reached := false
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -56,7 +56,9 @@
 	if config == nil {
 		config = &profile.Config{}
 	}
-	filtered := profile.Config{Revision: config.Revision, Organisations: config.Organisations}
+	filtered := profile.Config{
+		Revision: config.Revision, Organisations: config.Organisations, Evacuations: config.Evacuations,
+	}
 	if selected := fleet.OrganisationID(request.Msg.Organisation); selected != "" {
 		filtered.Organisations = map[fleet.OrganisationID]*profile.Organisation{}
 		if organisation, ok := config.Organisations[selected]; ok {
@@ -95,6 +97,29 @@
 	return respond(&operatorv1.ExplainResponse{Lines: lines}, err)
 }
 
+// Evacuate stores the request that nothing more is started on the workers of a data centre.
+func (service operatorService) Evacuate(
+	ctx context.Context, request *connect.Request[operatorv1.EvacuateRequest],
+) (*connect.Response[operatorv1.EvacuateResponse], error) {
+	response, err := service.node.config.Evacuate(ctx, request.Msg)
+	return respond(response, err)
+}
+
+// TakeBack ends the evacuation of a data centre.
+func (service operatorService) TakeBack(
+	ctx context.Context, request *connect.Request[operatorv1.TakeBackRequest],
+) (*connect.Response[operatorv1.TakeBackResponse], error) {
+	response, err := service.node.config.TakeBack(ctx, request.Msg)
+	return respond(response, err)
+}
+
+// ListEvacuations returns the evacuated data centres and the work that still runs there.
+func (service operatorService) ListEvacuations(
+	ctx context.Context, _ *connect.Request[operatorv1.ListEvacuationsRequest],
+) (*connect.Response[operatorv1.ListEvacuationsResponse], error) {
+	return respond(service.node.jobs.ListEvacuations(ctx), nil)
+}
+
 // respond returns message in a response if err is nil. Otherwise it returns a Connect error whose code follows from the
 // kind of err and whose header Error-Kind contains the kind.
 func respond[Message any](message *Message, err error) (*connect.Response[Message], error) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -52,6 +52,14 @@
 	return respond(response, err)
 }
 
+// ListEvacuatedWork returns the work in evacuated data centres if this process owns a domain.
+func (service peerService) ListEvacuatedWork(
+	ctx context.Context, request *connect.Request[peerv1.ListEvacuatedWorkRequest],
+) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error) {
+	response, err := service.node.jobs.ListEvacuatedWork(ctx, request.Msg)
+	return respond(response, err)
+}
+
 // JobEnds accepts the final records of jobs that the process that owns the jobs' domain could not write to the store
 // yet.
 func (service peerService) JobEnds(
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -26,7 +26,8 @@
 	resolveTimeout = 3 * time.Second
 )
 
-// edit is a validated ApplyRequest.
+// edit is a validated change of the configuration: an ApplyRequest or, if evacuation is not nil, the evacuation or
+// taking back of a data centre.
 type edit struct {
 	id           string
 	seenRevision fleet.Revision
@@ -34,9 +35,14 @@
 	// document is nil if the edit removes the organisation.
 	document []byte
 	parsed   *profile.Organisation
+	// evacuation is nil for an edit of an organisation's document.
+	evacuation *evacuationEdit
 }
 
 func (requested *edit) sum() string {
+	if requested.evacuation != nil {
+		return requested.evacuation.sum()
+	}
 	return sumOf(fmt.Appendf(nil, "%s\n%s", requested.organisation, requested.document))
 }
 
@@ -104,10 +110,7 @@
 		}
 		return known.Revision, nil
 	}
-	if requested.seenRevision != base.head.Revision {
-		return 0, conflict(base.head.Revision)
-	}
-	if err := distributor.checkResult(base, requested); err != nil {
+	if err := distributor.checkEdit(base, requested); err != nil {
 		return 0, err
 	}
 	written, err := distributor.writeDocument(ctx, base, requested)
@@ -117,6 +120,9 @@
 	newHead := base.head.next(
 		acceptedEdit{ID: requested.id, Revision: base.head.Revision + 1, Sum: requested.sum()},
 		requested.organisation, written.ref())
+	if requested.evacuation != nil {
+		newHead.Evacuations = requested.evacuation.apply(base.head.Evacuations, newHead.Revision)
+	}
 	distributor.setInProgress(written)
 	defer distributor.setInProgress(nil)
 	revision, err := distributor.store.Swap(ctx, headKey, newHead.encode(), stored.revision)
@@ -169,6 +175,17 @@
 	}
 }
 
+// checkEdit returns an error if an edit is based on an old revision, or if its result would be refused.
+func (distributor *Distributor) checkEdit(base *state, requested *edit) error {
+	if requested.evacuation != nil {
+		return distributor.checkEvacuation(base, requested.evacuation)
+	}
+	if requested.seenRevision != base.head.Revision {
+		return conflict(base.head.Revision)
+	}
+	return distributor.checkResult(base, requested)
+}
+
 // checkResult returns an error if the organisation that an edit removes does not exist, or if the fleet cannot satisfy
 // the configuration that results from the edit.
 func (distributor *Distributor) checkResult(base *state, requested *edit) error {
@@ -192,6 +209,7 @@
 	result := &profile.Config{
 		Revision:      config.Revision + 1,
 		Organisations: make(map[fleet.OrganisationID]*profile.Organisation, len(config.Organisations)+1),
+		Evacuations:   config.Evacuations,
 	}
 	for id, organisation := range config.Organisations {
 		result.Organisations[id] = organisation
--- a/internal/operator/head.go
+++ b/internal/operator/head.go
@@ -2,8 +2,8 @@
 // processes.
 //
 // The configuration consists of one immutable document per organisation and the head, which names the documents in
-// force. Each accepted edit changes the document of one organisation, replaces the head and increases the revision of
-// the configuration by one. The store has regressed when it contains an older head than it did before, because it has
+// force and the evacuated data centres. Each accepted edit changes the document of one organisation or the evacuation of
+// one data centre, replaces the head and increases the revision of the configuration by one. The store has regressed when it contains an older head than it did before, because it has
 // lost its newer contents.
 package operator
 
@@ -85,6 +85,8 @@
 	Documents map[fleet.OrganisationID]documentRef `json:"documents"`
 	// Edits holds the last accepted edits, newest last. The last one is always the edit that created Revision.
 	Edits []acceptedEdit `json:"edits"`
+	// Evacuations holds the evacuated data centres.
+	Evacuations map[fleet.DataCentreID]profile.Evacuation `json:"evacuations,omitempty"`
 }
 
 // lastEdit returns the edit that created the revision of this head. It is empty before the first edit.
@@ -106,7 +108,9 @@
 
 // next returns the head that results from an edit of one organisation. A nil ref removes the organisation.
 func (current *head) next(edit acceptedEdit, id fleet.OrganisationID, ref *documentRef) *head {
-	next := &head{Revision: edit.Revision, Documents: maps.Clone(current.Documents)}
+	next := &head{
+		Revision: edit.Revision, Documents: maps.Clone(current.Documents), Evacuations: current.Evacuations,
+	}
 	if next.Documents == nil {
 		next.Documents = map[fleet.OrganisationID]documentRef{}
 	}
@@ -173,6 +177,7 @@
 		config: &profile.Config{
 			Revision:      accepted.Revision,
 			Organisations: make(map[fleet.OrganisationID]*profile.Organisation, len(accepted.Documents)),
+			Evacuations:   accepted.Evacuations,
 		},
 	}
 	for id, ref := range accepted.Documents {
--- a/pkg/api/operatorv1/operatorv1connect/operator.connect.go
+++ b/pkg/api/operatorv1/operatorv1connect/operator.connect.go
@@ -44,6 +44,15 @@
 	OperatorServiceDumpProcedure = "/operator.v1.OperatorService/Dump"
 	// OperatorServiceExplainProcedure is the fully-qualified name of the OperatorService's Explain RPC.
 	OperatorServiceExplainProcedure = "/operator.v1.OperatorService/Explain"
+	// OperatorServiceEvacuateProcedure is the fully-qualified name of the OperatorService's Evacuate
+	// RPC.
+	OperatorServiceEvacuateProcedure = "/operator.v1.OperatorService/Evacuate"
+	// OperatorServiceTakeBackProcedure is the fully-qualified name of the OperatorService's TakeBack
+	// RPC.
+	OperatorServiceTakeBackProcedure = "/operator.v1.OperatorService/TakeBack"
+	// OperatorServiceListEvacuationsProcedure is the fully-qualified name of the OperatorService's
+	// ListEvacuations RPC.
+	OperatorServiceListEvacuationsProcedure = "/operator.v1.OperatorService/ListEvacuations"
 )
 
 // OperatorServiceClient is a client for the operator.v1.OperatorService service.
@@ -58,6 +67,13 @@
 	Dump(context.Context, *connect.Request[operatorv1.DumpRequest]) (*connect.Response[operatorv1.DumpResponse], error)
 	// Explain returns a few lines of text on the state of a job or an organisation and the reasons for it.
 	Explain(context.Context, *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error)
+	// Evacuate requests that nothing more is started on the workers of a data centre until it is taken back. It returns
+	// after the request is durable.
+	Evacuate(context.Context, *connect.Request[operatorv1.EvacuateRequest]) (*connect.Response[operatorv1.EvacuateResponse], error)
+	// TakeBack ends the evacuation of a data centre. It returns after the request is durable.
+	TakeBack(context.Context, *connect.Request[operatorv1.TakeBackRequest]) (*connect.Response[operatorv1.TakeBackResponse], error)
+	// ListEvacuations returns the evacuated data centres and the work that still runs there.
+	ListEvacuations(context.Context, *connect.Request[operatorv1.ListEvacuationsRequest]) (*connect.Response[operatorv1.ListEvacuationsResponse], error)
 }
 
 // NewOperatorServiceClient constructs a client for the operator.v1.OperatorService service. By
@@ -101,16 +117,37 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
+		evacuate: connect.NewClient[operatorv1.EvacuateRequest, operatorv1.EvacuateResponse](
+			httpClient,
+			baseURL+OperatorServiceEvacuateProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+			connect.WithClientOptions(opts...),
+		),
+		takeBack: connect.NewClient[operatorv1.TakeBackRequest, operatorv1.TakeBackResponse](
+			httpClient,
+			baseURL+OperatorServiceTakeBackProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("TakeBack")),
+			connect.WithClientOptions(opts...),
+		),
+		listEvacuations: connect.NewClient[operatorv1.ListEvacuationsRequest, operatorv1.ListEvacuationsResponse](
+			httpClient,
+			baseURL+OperatorServiceListEvacuationsProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("ListEvacuations")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	apply   *connect.Client[operatorv1.ApplyRequest, operatorv1.ApplyResponse]
-	preview *connect.Client[operatorv1.ApplyRequest, operatorv1.PreviewResponse]
-	show    *connect.Client[operatorv1.ShowRequest, operatorv1.ShowResponse]
-	dump    *connect.Client[operatorv1.DumpRequest, operatorv1.DumpResponse]
-	explain *connect.Client[operatorv1.ExplainRequest, operatorv1.ExplainResponse]
+	apply           *connect.Client[operatorv1.ApplyRequest, operatorv1.ApplyResponse]
+	preview         *connect.Client[operatorv1.ApplyRequest, operatorv1.PreviewResponse]
+	show            *connect.Client[operatorv1.ShowRequest, operatorv1.ShowResponse]
+	dump            *connect.Client[operatorv1.DumpRequest, operatorv1.DumpResponse]
+	explain         *connect.Client[operatorv1.ExplainRequest, operatorv1.ExplainResponse]
+	evacuate        *connect.Client[operatorv1.EvacuateRequest, operatorv1.EvacuateResponse]
+	takeBack        *connect.Client[operatorv1.TakeBackRequest, operatorv1.TakeBackResponse]
+	listEvacuations *connect.Client[operatorv1.ListEvacuationsRequest, operatorv1.ListEvacuationsResponse]
 }
 
 // Apply calls operator.v1.OperatorService.Apply.
@@ -138,6 +175,21 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
+// Evacuate calls operator.v1.OperatorService.Evacuate.
+func (c *operatorServiceClient) Evacuate(ctx context.Context, req *connect.Request[operatorv1.EvacuateRequest]) (*connect.Response[operatorv1.EvacuateResponse], error) {
+	return c.evacuate.CallUnary(ctx, req)
+}
+
+// TakeBack calls operator.v1.OperatorService.TakeBack.
+func (c *operatorServiceClient) TakeBack(ctx context.Context, req *connect.Request[operatorv1.TakeBackRequest]) (*connect.Response[operatorv1.TakeBackResponse], error) {
+	return c.takeBack.CallUnary(ctx, req)
+}
+
+// ListEvacuations calls operator.v1.OperatorService.ListEvacuations.
+func (c *operatorServiceClient) ListEvacuations(ctx context.Context, req *connect.Request[operatorv1.ListEvacuationsRequest]) (*connect.Response[operatorv1.ListEvacuationsResponse], error) {
+	return c.listEvacuations.CallUnary(ctx, req)
+}
+
 // OperatorServiceHandler is an implementation of the operator.v1.OperatorService service.
 type OperatorServiceHandler interface {
 	// Apply replaces the document of one organisation. It returns after the edit is durable.
@@ -150,6 +202,13 @@
 	Dump(context.Context, *connect.Request[operatorv1.DumpRequest]) (*connect.Response[operatorv1.DumpResponse], error)
 	// Explain returns a few lines of text on the state of a job or an organisation and the reasons for it.
 	Explain(context.Context, *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error)
+	// Evacuate requests that nothing more is started on the workers of a data centre until it is taken back. It returns
+	// after the request is durable.
+	Evacuate(context.Context, *connect.Request[operatorv1.EvacuateRequest]) (*connect.Response[operatorv1.EvacuateResponse], error)
+	// TakeBack ends the evacuation of a data centre. It returns after the request is durable.
+	TakeBack(context.Context, *connect.Request[operatorv1.TakeBackRequest]) (*connect.Response[operatorv1.TakeBackResponse], error)
+	// ListEvacuations returns the evacuated data centres and the work that still runs there.
+	ListEvacuations(context.Context, *connect.Request[operatorv1.ListEvacuationsRequest]) (*connect.Response[operatorv1.ListEvacuationsResponse], error)
 }
 
 // NewOperatorServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -189,6 +248,24 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceEvacuateHandler := connect.NewUnaryHandler(
+		OperatorServiceEvacuateProcedure,
+		svc.Evacuate,
+		connect.WithSchema(operatorServiceMethods.ByName("Evacuate")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceTakeBackHandler := connect.NewUnaryHandler(
+		OperatorServiceTakeBackProcedure,
+		svc.TakeBack,
+		connect.WithSchema(operatorServiceMethods.ByName("TakeBack")),
+		connect.WithHandlerOptions(opts...),
+	)
+	operatorServiceListEvacuationsHandler := connect.NewUnaryHandler(
+		OperatorServiceListEvacuationsProcedure,
+		svc.ListEvacuations,
+		connect.WithSchema(operatorServiceMethods.ByName("ListEvacuations")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/operator.v1.OperatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case OperatorServiceApplyProcedure:
@@ -201,6 +278,12 @@
 			operatorServiceDumpHandler.ServeHTTP(w, r)
 		case OperatorServiceExplainProcedure:
 			operatorServiceExplainHandler.ServeHTTP(w, r)
+		case OperatorServiceEvacuateProcedure:
+			operatorServiceEvacuateHandler.ServeHTTP(w, r)
+		case OperatorServiceTakeBackProcedure:
+			operatorServiceTakeBackHandler.ServeHTTP(w, r)
+		case OperatorServiceListEvacuationsProcedure:
+			operatorServiceListEvacuationsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -229,3 +312,15 @@
 func (UnimplementedOperatorServiceHandler) Explain(context.Context, *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("operator.v1.OperatorService.Explain is not implemented"))
 }
+
+func (UnimplementedOperatorServiceHandler) Evacuate(context.Context, *connect.Request[operatorv1.EvacuateRequest]) (*connect.Response[operatorv1.EvacuateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("operator.v1.OperatorService.Evacuate is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) TakeBack(context.Context, *connect.Request[operatorv1.TakeBackRequest]) (*connect.Response[operatorv1.TakeBackResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("operator.v1.OperatorService.TakeBack is not implemented"))
+}
+
+func (UnimplementedOperatorServiceHandler) ListEvacuations(context.Context, *connect.Request[operatorv1.ListEvacuationsRequest]) (*connect.Response[operatorv1.ListEvacuationsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("operator.v1.OperatorService.ListEvacuations is not implemented"))
+}
--- a/pkg/api/peerv1/peerv1connect/peer.connect.go
+++ b/pkg/api/peerv1/peerv1connect/peer.connect.go
@@ -52,6 +52,9 @@
 	PeerServiceLookUpProcedure = "/peer.v1.PeerService/LookUp"
 	// PeerServiceExplainJobProcedure is the fully-qualified name of the PeerService's ExplainJob RPC.
 	PeerServiceExplainJobProcedure = "/peer.v1.PeerService/ExplainJob"
+	// PeerServiceListEvacuatedWorkProcedure is the fully-qualified name of the PeerService's
+	// ListEvacuatedWork RPC.
+	PeerServiceListEvacuatedWorkProcedure = "/peer.v1.PeerService/ListEvacuatedWork"
 	// PeerServiceJobEndsProcedure is the fully-qualified name of the PeerService's JobEnds RPC.
 	PeerServiceJobEndsProcedure = "/peer.v1.PeerService/JobEnds"
 )
@@ -71,6 +74,8 @@
 	LookUp(context.Context, *connect.Request[peerv1.LookUpRequest]) (*connect.Response[callerv1.StatusResponse], error)
 	// ExplainJob requests the reason why a job is waiting from the owner of its domain.
 	ExplainJob(context.Context, *connect.Request[peerv1.ExplainJobRequest]) (*connect.Response[peerv1.ExplainJobResponse], error)
+	// ListEvacuatedWork requests the work in evacuated data centres from the owner of a domain.
+	ListEvacuatedWork(context.Context, *connect.Request[peerv1.ListEvacuatedWorkRequest]) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error)
 	// JobEnds sends peers the records of ended jobs that could not be written to the store yet.
 	JobEnds(context.Context, *connect.Request[peerv1.JobEndsRequest]) (*connect.Response[peerv1.JobEndsResponse], error)
 }
@@ -134,6 +139,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("ExplainJob")),
 			connect.WithClientOptions(opts...),
 		),
+		listEvacuatedWork: connect.NewClient[peerv1.ListEvacuatedWorkRequest, peerv1.ListEvacuatedWorkResponse](
+			httpClient,
+			baseURL+PeerServiceListEvacuatedWorkProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ListEvacuatedWork")),
+			connect.WithClientOptions(opts...),
+		),
 		jobEnds: connect.NewClient[peerv1.JobEndsRequest, peerv1.JobEndsResponse](
 			httpClient,
 			baseURL+PeerServiceJobEndsProcedure,
@@ -145,15 +156,16 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	heartbeat      *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
-	pullConfig     *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
-	submitJob      *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
-	cancelJob      *connect.Client[peerv1.CancelJobRequest, peerv1.CancelJobResponse]
-	forwardCall    *connect.Client[peerv1.ForwardCallRequest, callerv1.CallResponse]
-	recordOutcomes *connect.Client[peerv1.RecordOutcomesRequest, peerv1.RecordOutcomesResponse]
-	lookUp         *connect.Client[peerv1.LookUpRequest, callerv1.StatusResponse]
-	explainJob     *connect.Client[peerv1.ExplainJobRequest, peerv1.ExplainJobResponse]
-	jobEnds        *connect.Client[peerv1.JobEndsRequest, peerv1.JobEndsResponse]
+	heartbeat         *connect.Client[peerv1.HeartbeatRequest, peerv1.HeartbeatResponse]
+	pullConfig        *connect.Client[peerv1.PullConfigRequest, peerv1.PullConfigResponse]
+	submitJob         *connect.Client[peerv1.SubmitJobRequest, peerv1.SubmitJobResponse]
+	cancelJob         *connect.Client[peerv1.CancelJobRequest, peerv1.CancelJobResponse]
+	forwardCall       *connect.Client[peerv1.ForwardCallRequest, callerv1.CallResponse]
+	recordOutcomes    *connect.Client[peerv1.RecordOutcomesRequest, peerv1.RecordOutcomesResponse]
+	lookUp            *connect.Client[peerv1.LookUpRequest, callerv1.StatusResponse]
+	explainJob        *connect.Client[peerv1.ExplainJobRequest, peerv1.ExplainJobResponse]
+	listEvacuatedWork *connect.Client[peerv1.ListEvacuatedWorkRequest, peerv1.ListEvacuatedWorkResponse]
+	jobEnds           *connect.Client[peerv1.JobEndsRequest, peerv1.JobEndsResponse]
 }
 
 // Heartbeat calls peer.v1.PeerService.Heartbeat.
@@ -196,6 +208,11 @@
 	return c.explainJob.CallUnary(ctx, req)
 }
 
+// ListEvacuatedWork calls peer.v1.PeerService.ListEvacuatedWork.
+func (c *peerServiceClient) ListEvacuatedWork(ctx context.Context, req *connect.Request[peerv1.ListEvacuatedWorkRequest]) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error) {
+	return c.listEvacuatedWork.CallUnary(ctx, req)
+}
+
 // JobEnds calls peer.v1.PeerService.JobEnds.
 func (c *peerServiceClient) JobEnds(ctx context.Context, req *connect.Request[peerv1.JobEndsRequest]) (*connect.Response[peerv1.JobEndsResponse], error) {
 	return c.jobEnds.CallUnary(ctx, req)
@@ -216,6 +233,8 @@
 	LookUp(context.Context, *connect.Request[peerv1.LookUpRequest]) (*connect.Response[callerv1.StatusResponse], error)
 	// ExplainJob requests the reason why a job is waiting from the owner of its domain.
 	ExplainJob(context.Context, *connect.Request[peerv1.ExplainJobRequest]) (*connect.Response[peerv1.ExplainJobResponse], error)
+	// ListEvacuatedWork requests the work in evacuated data centres from the owner of a domain.
+	ListEvacuatedWork(context.Context, *connect.Request[peerv1.ListEvacuatedWorkRequest]) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error)
 	// JobEnds sends peers the records of ended jobs that could not be written to the store yet.
 	JobEnds(context.Context, *connect.Request[peerv1.JobEndsRequest]) (*connect.Response[peerv1.JobEndsResponse], error)
 }
@@ -275,6 +294,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("ExplainJob")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceListEvacuatedWorkHandler := connect.NewUnaryHandler(
+		PeerServiceListEvacuatedWorkProcedure,
+		svc.ListEvacuatedWork,
+		connect.WithSchema(peerServiceMethods.ByName("ListEvacuatedWork")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceJobEndsHandler := connect.NewUnaryHandler(
 		PeerServiceJobEndsProcedure,
 		svc.JobEnds,
@@ -299,6 +324,8 @@
 			peerServiceLookUpHandler.ServeHTTP(w, r)
 		case PeerServiceExplainJobProcedure:
 			peerServiceExplainJobHandler.ServeHTTP(w, r)
+		case PeerServiceListEvacuatedWorkProcedure:
+			peerServiceListEvacuatedWorkHandler.ServeHTTP(w, r)
 		case PeerServiceJobEndsProcedure:
 			peerServiceJobEndsHandler.ServeHTTP(w, r)
 		default:
@@ -342,6 +369,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ExplainJob is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) ListEvacuatedWork(context.Context, *connect.Request[peerv1.ListEvacuatedWorkRequest]) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.ListEvacuatedWork is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) JobEnds(context.Context, *connect.Request[peerv1.JobEndsRequest]) (*connect.Response[peerv1.JobEndsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.JobEnds is not implemented"))
 }
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -56,7 +56,8 @@
 	Conflict Kind = "conflict"
 	// Unsatisfiable means that the guarantees of all organisations together do not fit on the fleet.
 	Unsatisfiable Kind = "unsatisfiable"
-	// NotFound means that the named job, request or organisation is unknown.
+	// NotFound means that the named job, request, organisation or data centre is unknown, or that the data centre to take
+	// back is not evacuated.
 	NotFound Kind = "not_found"
 	// Internal means that the system has a defect.
 	Internal Kind = "internal"
