--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -52,6 +52,9 @@
 		},
 		{"dump", "print a snapshot of the state of one process", setupDump},
 		{"explain", "print the reasons for the state of a job or an organisation", setupExplain},
+		{"evacuate", "start nothing more on the workers of a data centre until it is taken back", setupEvacuate},
+		{"take-back", "end the evacuation of a data centre", setupTakeBack},
+		{"evacuations", "list the evacuated data centres and the work that still runs there", setupEvacuations},
 	}
 }
 
@@ -109,7 +112,7 @@
 func printUsage(console console) {
 	fmt.Fprintln(console.err, "usage: quetzalstall COMMAND [flags]")
 	for _, command := range commands() {
-		fmt.Fprintf(console.err, "  %-8s %s\n", command.name, command.summary)
+		fmt.Fprintf(console.err, "  %-11s %s\n", command.name, command.summary)
 	}
 	fmt.Fprintln(console.err, "quetzalstall COMMAND -help lists the flags of a command.")
 }
