Learn the lasting speed of workers, and place urgent gangs on fast ones

Cause: on a third of the workers of one deployment all work takes 1.7 times as long as declared, on the others 0.7 times. Urgent jobs started within 39 ms and 98 of 168 were late. Change: pkg/workerspeed learns a time factor for each worker from the progress and the ends of runs; placement sorts by it where urgent profiles cannot meet their objective on some of the workers; the factors outlive the controller.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"github.com/quetzalstall/quetzalstall/pkg/evacuation"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workerspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -143,6 +144,13 @@
 	invalidEvacuations *keyvalue.InvalidItems
 	// startsBlocked is set while no task starts because the evacuations have not been confirmed lately.
 	startsBlocked bool
+	// speeds is what was learnt of the lasting speeds of workers, and storedSpeeds what of it was stored. uneven has the
+	// services in which placement depends on it.
+	speeds       workerspeed.Fleet
+	storedSpeeds storedSpeeds
+	uneven       map[fleet.ServiceName]bool
+	// nextFactors is the earliest time at which the time factors of all workers are computed again.
+	nextFactors time.Duration
 	// arrivals is the recent demand of urgent jobs.
 	arrivals arrivals
 	// pendingCommits has the times at which the transactions without a known outcome were sent, by the numbers of their
@@ -179,6 +187,7 @@
 		evacuations: evacuation.Requests{MaxAge: controller.MaxEvacuationAge},
 		invalidEvacuations: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid evacuation request", "evacuation request is valid again"),
+		uneven:         map[fleet.ServiceName]bool{},
 		pendingCommits: map[int64]time.Duration{},
 		advice:         advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
@@ -340,6 +349,7 @@
 	loop.group.Go(func() error { return jobs.Run(loop.ctx) })
 	loop.group.Go(func() error { return workers.Run(loop.ctx) })
 	loop.watchEvacuations()
+	loop.loadSpeeds()
 }
 
 func (loop *dispatcher) closeLinks() {
@@ -367,6 +377,7 @@
 			loop.removeWorker(worker)
 		}
 	}
+	loop.storeSpeeds()
 	if loop.clock()-loop.lastExpiry > expiryInterval {
 		loop.lastExpiry = loop.clock()
 		loop.removeExpiredJobs()
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -40,15 +40,17 @@
 
 // WorkerDump is the state of a worker with its runs.
 type WorkerDump struct {
-	ID       fleet.WorkerID     `json:"worker_id"`
-	Rack     fleet.RackID       `json:"rack"`
-	Listed   bool               `json:"listed"`
-	Settled  bool               `json:"settled"`
-	Silent   bool               `json:"silent"`
-	Draining bool               `json:"draining"`
-	Suspect  bool               `json:"suspect"`
-	Free     workload.Resources `json:"free"`
-	Runs     []string           `json:"runs"`
+	ID       fleet.WorkerID `json:"worker_id"`
+	Rack     fleet.RackID   `json:"rack"`
+	Listed   bool           `json:"listed"`
+	Settled  bool           `json:"settled"`
+	Silent   bool           `json:"silent"`
+	Draining bool           `json:"draining"`
+	Suspect  bool           `json:"suspect"`
+	// TimeFactor is how long work takes there in the long run, relative to its declared run time; 0 if that is not known.
+	TimeFactor float64            `json:"time_factor,omitempty"`
+	Free       workload.Resources `json:"free"`
+	Runs       []string           `json:"runs"`
 	// Stopping are those of the runs that are to be stopped. Unexpected are the runs that the worker lists although
 	// they are not placed there; it gets no other work until they have ended.
 	Stopping   []string `json:"stopping"`
@@ -80,7 +82,11 @@
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
-		dump.Workers = append(dump.Workers, loop.workers[id].dump(loop.clock()))
+		worker := loop.workers[id].dump(loop.clock())
+		if factor, known := loop.speeds.Factor(id, loop.clock()); known {
+			worker.TimeFactor = float64(factor)
+		}
+		dump.Workers = append(dump.Workers, worker)
 	}
 	dump.Evacuations, dump.EvacuationsAgeMS = loop.dumpEvacuations()
 	for key := range loop.claims {
--- a/internal/control/failing_workers_test.go
+++ b/internal/control/failing_workers_test.go
@@ -27,6 +27,8 @@
 	// slowdown is how many times as long the work of a failing worker takes in the failing period, if its runs do not
 	// fail; 0 means that they fail.
 	slowdown float64
+	// factors has the workers whose work takes that many times as long all the time.
+	factors map[fleet.WorkerID]float64
 	// startedAt is the time at which the play started each run, and done the fraction of its work that is done. endCount
 	// is the number of ends that each worker has listed.
 	startedAt map[*run]time.Duration
@@ -73,6 +75,7 @@
 			if !run.startSent {
 				run.startSent, run.startedAt, play.startedAt[run] = true, play.now, play.now
 				run.job.onStored = nil
+				run.unit.confirm(play.now)
 			}
 		}
 	}
@@ -85,7 +88,7 @@
 		if play.slowdown > 0 && play.failing[id] && play.now >= play.failsFrom && play.now < play.failsUntil {
 			return 1 / play.slowdown
 		}
-		return 1
+		return 1 / cmp.Or(play.factors[id], 1)
 	}
 	for id, worker := range play.workers {
 		for _, run := range worker.runs {
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -270,12 +270,15 @@
 	crossRack := loop.crossRack(step, places)
 	loop.markDirty(job)
 	runs := make([]*run, len(unit.Tasks))
+	together := &unitRuns{
+		workers: distinct(places), unconfirmed: len(places), resumed: tasks[unit.Tasks[0]].Checkpoint != "",
+	}
 	for i, index := range unit.Tasks {
 		known := loop.workers[places[i]]
 		placed := &run{
 			task:   workload.TaskID{Job: job.ID, Occurrence: unit.Occurrence, Step: unit.Step, Index: index},
 			number: number, job: job, link: known.link, need: step.Need(), startedAt: loop.clock(),
-			crossRack: crossRack, share: fullShare,
+			crossRack: crossRack, share: fullShare, unit: together,
 		}
 		known.add(placed)
 		runs[i] = placed
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -8,6 +8,7 @@
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/placement"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workerspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -33,6 +34,10 @@
 	unprotected []*placement.Worker
 	// utilisation is the fraction of the accelerators that is not free.
 	utilisation float64
+	// uneven is set if placement depends on the lasting speed of workers.
+	uneven bool
+	// endingSoon caches the result of endingSoonOnFast; -1 if it is not known.
+	endingSoon fleet.Accelerators
 	// capacity is the number of accelerators of all workers. withheld is the number of accelerators that this plan
 	// reserves for units that do not fit yet.
 	capacity, withheld fleet.Accelerators
@@ -78,6 +83,7 @@
 }
 
 func newPlanner(loop *dispatcher) *planner {
+	loop.refreshFactors()
 	planner := &planner{loop: loop, now: loop.clock(), pools: map[fleet.ServiceName]*servicePool{}}
 	for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
 		worker := loop.workers[id]
@@ -91,6 +97,7 @@
 			ID: id, Rack: entry.Rack, Labels: entry.Labels, Capacity: entry.Capacity,
 			Free:       entry.Capacity.Sub(worker.used).Sub(worker.reserved),
 			Unreliable: worker.health.Unreliable(), Proven: worker.health.Proven(planner.now),
+			Factor: worker.factor, TooSlow: worker.tooSlow,
 		}
 		switch {
 		case !worker.health.OnProbation(planner.now):
@@ -102,7 +109,9 @@
 	loop.arrivals.expire(planner.now)
 	for name, pool := range planner.pools {
 		pool.computeUtilisation()
-		protected := placement.HeadroomWorkers(pool.all, loop.arrivals.headroom(name, pool.capacity))
+		pool.uneven = loop.uneven[name]
+		protected := placement.HeadroomWorkers(
+			pool.fastEnough(), loop.arrivals.headroom(name, pool.capacity))
 		for _, worker := range pool.all {
 			if !protected[worker.ID] {
 				pool.unprotected = append(pool.unprotected, worker)
@@ -119,6 +128,7 @@
 		pool = &servicePool{
 			preemptible: map[preemptionScope]*view{}, copies: map[fleet.WorkerID][]*placement.Worker{},
 			rejected: map[rejectionKey][]placement.Demand{}, fitsWhenEmpty: map[placement.Demand]bool{},
+			endingSoon: -1,
 		}
 		planner.pools[name] = pool
 	}
@@ -198,12 +208,15 @@
 	if pool == nil {
 		return false
 	}
-	wanted := placement.DemandOf(candidate.step(), len(candidate.unit.Tasks))
-	wanted.Restricted = candidate.advised()
-	wanted.PreferProven = candidate.failures() > 0 || candidate.suspected()
+	wanted := planner.demandOf(pool, candidate)
 	if planner.awaitsAdvice(pool, wanted, candidate) {
 		return false
 	}
+	if wanted.BySpeed && wanted.Speed.Urgent && pool.uneven {
+		if started, waits := planner.startInTime(pool, wanted, candidate, rank); started || waits {
+			return started
+		}
+	}
 	if places, ok := planner.choosePlaces(pool, wanted, candidate); ok {
 		pool.allocate(places, wanted.Each)
 		planner.loop.place(candidate, places)
@@ -263,6 +276,7 @@
 	if wanted.MaxPerWorker > 0 || wanted.Restricted {
 		return placement.Fits(planner.eligible(pool.all, candidate), wanted, placement.TotalCapacity, true)
 	}
+	wanted.BySpeed, wanted.Speed = false, workerspeed.Need{}
 	known, ok := pool.fitsWhenEmpty[wanted]
 	if !ok {
 		known = placement.Fits(pool.all, wanted, placement.TotalCapacity, true)
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -187,6 +187,7 @@
 		known.working, known.listedAt = status.Percent >= fullPercent, loop.clock()
 		loop.clearSuspicion(known, sent)
 		verdicts[known] = known.assess(listing.Clock, status.Percent)
+		loop.learnFromProgress(known, worker)
 		listed = append(listed, known)
 	}
 	loop.removeUnexpected(worker, listing)
@@ -216,6 +217,9 @@
 func (loop *dispatcher) endRun(run *run, outcome progress.RunOutcome, checkpoint, cause string) {
 	job := run.job
 	worker := loop.freeCapacity(run)
+	if outcome == progress.RunDone {
+		loop.learnFromEnd(run, worker)
+	}
 	if !run.recordEnd(outcome, checkpoint) {
 		return
 	}
@@ -359,6 +363,7 @@
 	if err == nil {
 		placed.job.record.Begun = true
 		placed.listedAfter = loop.clock()
+		placed.unit.confirm(loop.clock())
 		placed.confirmStart(outcome, worker.link.token, loop.clock())
 		worker.link.notify()
 		return
--- a/internal/control/speed.go
+++ b/internal/control/speed.go
@@ -28,6 +28,9 @@
 	samples []sample
 	// first is the first sample of the run. A resumed run starts with the work saved in its checkpoint.
 	first sample
+	// moving is the last sample before progress was first seen: until then the run was starting up, or waited for the
+	// other members of its gang.
+	moving sample
 	// bestSpeed is the highest speed over a window that was observed for the run.
 	bestSpeed speed
 	// slowSince is the time from which the run has been slow or below its declared speed; 0 while it is neither.
@@ -37,10 +40,13 @@
 // observe adds a sample and drops the oldest samples, as long as the others still cover the window.
 func (tracker *speedTracker) observe(now sample, window time.Duration) {
 	if len(tracker.samples) == 0 {
-		tracker.first = now
+		tracker.first, tracker.moving = now, now
 	} else if now.at <= tracker.last().at {
 		return
 	}
+	if now.done <= tracker.first.done {
+		tracker.moving = now
+	}
 	tracker.samples = append(tracker.samples, now)
 	for len(tracker.samples) > 2 && time.Duration(now.at-tracker.samples[1].at) >= window {
 		tracker.samples = tracker.samples[1:]
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -10,6 +10,7 @@
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workerhealth"
+	"github.com/quetzalstall/quetzalstall/pkg/workerspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -124,7 +125,9 @@
 	judgedDraining bool
 	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
 	restored bool
-	speeds   speedTracker
+	// unit is shared by the runs of the unit; nil if a former controller placed the run.
+	unit   *unitRuns
+	speeds speedTracker
 	// verdict is the latest verdict on the speed of the run.
 	verdict verdict
 	// crossRack is set if the run's data or a member of its gang is in another rack, which slows the run down.
@@ -205,13 +208,17 @@
 	// withheldEnds are those of the unstoredEnds that no record counts.
 	withheldEnds []int64
 	health       workerhealth.Health
-	throttle     throttleState
+	// factor is how long work takes on the worker in the long run, relative to its declared run time; 1 if not known.
+	factor workerspeed.Factor
+	// tooSlow is set if urgent work of the service certainly misses its objective on the worker.
+	tooSlow  bool
+	throttle throttleState
 }
 
 func newWorker(entry WorkerEntry) *worker {
 	return &worker{
 		entry: entry, runs: map[workload.TaskID]*run{}, unexpected: map[runID]*run{}, unstoredEnds: map[int64]bool{},
-		throttle: throttleState{share: fullShare},
+		throttle: throttleState{share: fullShare}, factor: 1,
 	}
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -30,6 +30,8 @@
 	JobPrefix = "quetzalstall/job/"
 	// RecordPrefix covers the progress records of jobs, which only the controller reads and writes.
 	RecordPrefix = "quetzalstall/record/"
+	// SpeedsKey is the key of what the controller has learnt of the speeds of workers.
+	SpeedsKey = "quetzalstall/speeds"
 )
 
 // MemberKey returns the key of an entry process's member record.
--- a/pkg/catalog/catalog.go
+++ b/pkg/catalog/catalog.go
@@ -44,6 +44,7 @@
 	byHost        map[string][]Profile
 	credentials   map[string]fleet.OrganisationID
 	organisations map[fleet.OrganisationID]Organisation
+	leastStretch  map[fleet.ServiceName]float64
 }
 
 // New returns a catalog with the given profiles, organisations and limits.
@@ -53,9 +54,14 @@
 		profiles:      make(map[fleet.ProfileName]Profile, len(profiles)),
 		byHost:        map[string][]Profile{},
 		credentials:   map[string]fleet.OrganisationID{},
+		leastStretch:  map[fleet.ServiceName]float64{},
 		organisations: make(map[fleet.OrganisationID]Organisation, len(organisations)),
 	}
 	for _, profile := range profiles {
+		least, ok := catalog.leastStretch[profile.Service]
+		if profile.Priority == workload.Urgent && profile.Stretch > 0 && (!ok || profile.Stretch < least) {
+			catalog.leastStretch[profile.Service] = profile.Stretch
+		}
 		catalog.profiles[profile.Name] = profile
 		host := strings.ToLower(profile.Host)
 		catalog.byHost[host] = append(catalog.byHost[host], profile)
@@ -69,6 +75,13 @@
 	return catalog
 }
 
+// LeastStretch returns the smallest stretch of the objectives of the urgent profiles of a service, or false if it has no
+// urgent profile with one. Work that takes more than its declared run time times the stretch misses the objective.
+func (catalog *Catalog) LeastStretch(service fleet.ServiceName) (float64, bool) {
+	least, ok := catalog.leastStretch[service]
+	return least, ok
+}
+
 // Route returns the profile with the longest prefix of path among the profiles of a host. Host names are compared
 // without regard to case.
 func (catalog *Catalog) Route(host, path string) (Profile, bool) {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/workerspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -31,6 +32,11 @@
 	// Proven workers have just shown that they run tasks well. A demand that prefers proven workers is placed on others
 	// only if they do not suffice.
 	Proven bool
+	// Factor is how long work takes on the worker in the long run, relative to its declared run time. It matters only to
+	// demands with BySpeed.
+	Factor workerspeed.Factor
+	// TooSlow is set if urgent work of the service certainly misses its objective on the worker.
+	TooSlow bool
 	// SameStepTasks is the number of tasks on the worker that belong to the same step and occurrence as the demand.
 	SameStepTasks int
 }
@@ -46,6 +52,9 @@
 	// PreferProven is set if the tasks are to run on proven workers if possible, for example because they have failed
 	// elsewhere.
 	PreferProven bool
+	// BySpeed is set if the tasks are placed by the lasting speed of workers, and Speed is what they need of it.
+	BySpeed bool
+	Speed   workerspeed.Need
 	// Restricted is true if only some workers may run the tasks. The functions of this package do not check this: only
 	// these workers may be passed to them.
 	Restricted bool
@@ -61,14 +70,14 @@
 
 // Subsumes reports whether demand needs at least as much as other, so that every placement of demand contains a
 // placement of other. If demand subsumes other and other does not fit on a set of workers, demand does not fit on them
-// either. The result is false if other is restricted or limits the tasks on a worker, because the placement of other
-// then depends on more than capacity.
+// either. The result is false if other is restricted, limits the tasks on a worker or excludes slow workers, because the
+// placement of other then depends on more than capacity.
 func (demand Demand) Subsumes(other Demand) bool {
 	return demand.Tasks >= other.Tasks && demand.Each.Covers(other.Each) &&
 		(demand.SameRack || !other.SameRack) &&
 		(other.DataRack == "" || demand.DataRack == other.DataRack) &&
 		(other.Label == "" || demand.Label == other.Label) &&
-		other.MaxPerWorker == 0 && !other.Restricted
+		other.MaxPerWorker == 0 && !other.Restricted && !other.Speed.Strict
 }
 
 // CapacityFunc returns the usable capacity of a worker: the part of its capacity that a placement may use.
@@ -109,7 +118,8 @@
 		if !ok {
 			continue
 		}
-		if slack := usableAccelerators(members) + demand.trustPenalty(members, places); best == nil || slack < bestSlack {
+		slack := usableAccelerators(members) + demand.trustPenalty(members, places) + demand.speedPenalty(members, places)
+		if best == nil || slack < bestSlack {
 			best, bestSlack = places, slack
 		}
 	}
@@ -149,6 +159,9 @@
 	if strictLocality && demand.DataRack != "" && worker.Rack != demand.DataRack {
 		return 0, workload.Resources{}
 	}
+	if demand.BySpeed && demand.Speed.Excludes(worker.Factor) {
+		return 0, workload.Resources{}
+	}
 	available := capacity(worker)
 	count := available.Count(demand.Each)
 	if demand.MaxPerWorker > 0 {
@@ -193,6 +206,9 @@
 	// first for all workers of a rack, so that placements on more trusted workers are always preferred.
 	unprovenPenalty   = 1 << 12
 	unreliablePenalty = 1 << 24
+	// speedPenalty is added for each step of the speed rank of the worker that is preferred least, because a gang goes at
+	// the pace of its slowest member. It exceeds the number of accelerators in a rack.
+	speedPenalty = 1 << 13
 )
 
 // trustPenalty returns the sum of the penalties for the workers that the placement uses.
@@ -224,6 +240,29 @@
 	return 0
 }
 
+// speedRank is a sort key that places workers by their lasting speed; 0 for all workers if the demand does not depend on
+// it.
+func (demand Demand) speedRank(worker *Worker) int {
+	if !demand.BySpeed {
+		return 0
+	}
+	return demand.Speed.Rank(worker.Factor)
+}
+
+// speedPenalty returns the penalty for the worker of the placement that is preferred least by its speed.
+func (demand Demand) speedPenalty(candidates []candidate, places []fleet.WorkerID) int {
+	worst := 0
+	if !demand.BySpeed {
+		return worst
+	}
+	for _, candidate := range candidates {
+		if slices.Contains(places, candidate.worker.ID) {
+			worst = max(worst, demand.speedRank(candidate.worker))
+		}
+	}
+	return worst * speedPenalty
+}
+
 // usableAccelerators returns the number of accelerators in the usable capacity of all candidates.
 func usableAccelerators(candidates []candidate) int {
 	total := 0
@@ -249,6 +288,7 @@
 			// A worker with enough free capacity comes before a worker on which tasks would be preempted.
 			cmp.Compare(preemptionRank(a, demand), preemptionRank(b, demand)),
 			cmp.Compare(demand.trustRank(a.worker), demand.trustRank(b.worker)),
+			cmp.Compare(demand.speedRank(a.worker), demand.speedRank(b.worker)),
 			cmp.Compare(a.worker.PreemptionCost, b.worker.PreemptionCost),
 			cmp.Compare(a.capacity.Accelerators, b.capacity.Accelerators),
 			cmp.Compare(a.capacity.Millicores, b.capacity.Millicores),
