Make unknown workers known by work with slack

Cause: most urgent gangs that were late ran on workers of which nothing was known yet. Change: on a fleet of uneven speed, units with slack take unknown workers first, then the slowest that suffice.

--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -97,7 +97,7 @@
 			ID: id, Rack: entry.Rack, Labels: entry.Labels, Capacity: entry.Capacity,
 			Free:       entry.Capacity.Sub(worker.used).Sub(worker.reserved),
 			Unreliable: worker.health.Unreliable(), Proven: worker.health.Proven(planner.now),
-			Factor: worker.factor, TooSlow: worker.tooSlow,
+			Factor: worker.factor, FactorKnown: worker.factorKnown, TooSlow: worker.tooSlow,
 		}
 		switch {
 		case !worker.health.OnProbation(planner.now):
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -209,7 +209,8 @@
 	withheldEnds []int64
 	health       workerhealth.Health
 	// factor is how long work takes on the worker in the long run, relative to its declared run time; 1 if not known.
-	factor workerspeed.Factor
+	factor      workerspeed.Factor
+	factorKnown bool
 	// tooSlow is set if urgent work of the service certainly misses its objective on the worker.
 	tooSlow  bool
 	throttle throttleState
--- a/internal/control/workerspeeds.go
+++ b/internal/control/workerspeeds.go
@@ -121,7 +121,7 @@
 		}
 		service.workers++
 		factor, known := loop.speeds.Factor(id, now)
-		if worker.factor = factor; known {
+		if worker.factor, worker.factorKnown = factor, known; known {
 			service.known = append(service.known, factor)
 		}
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -35,6 +35,8 @@
 	// Factor is how long work takes on the worker in the long run, relative to its declared run time. It matters only to
 	// demands with BySpeed.
 	Factor workerspeed.Factor
+	// FactorKnown is set if Factor is known; otherwise it is 1.
+	FactorKnown bool
 	// TooSlow is set if urgent work of the service certainly misses its objective on the worker.
 	TooSlow bool
 	// SameStepTasks is the number of tasks on the worker that belong to the same step and occurrence as the demand.
@@ -246,7 +248,7 @@
 	if !demand.BySpeed {
 		return 0
 	}
-	return demand.Speed.Rank(worker.Factor)
+	return demand.Speed.Rank(worker.Factor, worker.FactorKnown)
 }
 
 // speedPenalty returns the penalty for the worker of the placement that is preferred least by its speed.
--- a/pkg/workerspeed/unit.go
+++ b/pkg/workerspeed/unit.go
@@ -46,8 +46,9 @@
 	return Class(math.Round(math.Log(float64(factor)) / classWidth))
 }
 
-// Rank returns a sort key for a worker with the given factor: workers with lower ranks are preferred.
-func (need Need) Rank(factor Factor) int {
+// Rank returns a sort key for a worker with the given factor, which is 1 if it is not known: workers with lower ranks are
+// preferred.
+func (need Need) Rank(factor Factor, known bool) int {
 	const (
 		// middle keeps the rank of every class positive.
 		middle = 32
@@ -57,6 +58,10 @@
 	rank := middle + min(max(int(ClassOf(factor)), -middle), middle)
 	if !need.Urgent {
 		rank = 2*middle - rank
+		if !known {
+			// Work with slack makes a worker known before urgent work depends on it.
+			rank = 0
+		}
 	}
 	if factor > need.Longest {
 		// A unit that misses its objective everywhere still ends soonest on the fastest workers.
--- a/pkg/workerspeed/workerspeed_test.go
+++ b/pkg/workerspeed/workerspeed_test.go
@@ -117,15 +117,18 @@
 // or workers on which they miss their objective.
 func TestRank(t *testing.T) {
 	urgent := NeedOf(3*time.Second, 0, 2*time.Second, true)
-	if !(urgent.Rank(0.7) < urgent.Rank(1) && urgent.Rank(1) < urgent.Rank(1.7)) {
+	if !(urgent.Rank(0.7, true) < urgent.Rank(1, true) && urgent.Rank(1, true) < urgent.Rank(1.7, true)) {
 		t.Error("urgent units do not prefer fast workers")
 	}
 	batch := NeedOf(10*time.Second, 0, 5*time.Second, false)
-	if !(batch.Rank(1.7) < batch.Rank(1) && batch.Rank(1) < batch.Rank(0.7) && batch.Rank(0.7) < batch.Rank(2.5)) {
+	if !(batch.Rank(1.7, true) < batch.Rank(1, true) && batch.Rank(1, true) < batch.Rank(0.7, true) && batch.Rank(0.7, true) < batch.Rank(2.5, true)) {
 		t.Error("other units do not prefer the slowest workers that suffice")
 	}
+	if !(batch.Rank(1, false) < batch.Rank(1.7, true) && urgent.Rank(0.7, true) < urgent.Rank(1, false)) {
+		t.Error("units with slack do not make unknown workers known, or urgent ones do")
+	}
 	late := NeedOf(time.Second, 2*time.Second, 5*time.Second, false)
-	if !(late.Rank(0.7) < late.Rank(1.7)) {
+	if !(late.Rank(0.7, true) < late.Rank(1.7, true)) {
 		t.Error("late units do not prefer fast workers")
 	}
 }
