--- a/internal/control/workerspeeds.go
+++ b/internal/control/workerspeeds.go
@@ -92,18 +92,18 @@
 }
 
 const (
-	// unevenShare is the fraction of a service's workers that must be known as too slow for an urgent profile for placement
-	// to depend on speed.
-	unevenShare = 0.02
+	// unevenShare is the fraction of the workers with a known factor that must be too slow for an urgent profile for
+	// placement to begin to depend on speed, and unevenAgain the one below which it ceases to. Single workers may be taken
+	// for slow by mistake. fewSlow is the least number of workers that are too slow.
+	unevenShare = 0.1
+	unevenAgain = 0.05
+	fewSlow     = 4
 	// factorInterval is the interval at which the time factors of all workers are computed again.
 	factorInterval = 500 * time.Millisecond
 )
 
 // serviceSpeeds are the time factors of the workers of one service, as far as they are known.
-type serviceSpeeds struct {
-	workers int
-	known   []workerspeed.Factor
-}
+type serviceSpeeds struct{ known []workerspeed.Factor }
 
 // refreshFactors computes the time factors of all workers, and in which services placement depends on them.
 func (loop *dispatcher) refreshFactors() {
@@ -119,7 +119,6 @@
 			service = &serviceSpeeds{}
 			services[worker.entry.Service] = service
 		}
-		service.workers++
 		factor, known := loop.speeds.Factor(id, now)
 		if worker.factor, worker.factorKnown = factor, known; known {
 			service.known = append(service.known, factor)
@@ -129,8 +128,11 @@
 	for name, service := range services {
 		limits[name] = loop.slowLimit(name, service.known)
 		first, _ := slices.BinarySearch(service.known, limits[name])
-		slow := len(service.known) - first
-		loop.noteUneven(name, slow > 0 && float64(slow) >= unevenShare*float64(service.workers), slow)
+		slow, share := len(service.known)-first, unevenShare
+		if loop.uneven[name] {
+			share = unevenAgain
+		}
+		loop.noteUneven(name, slow >= fewSlow && float64(slow) >= share*float64(len(service.known)), slow)
 	}
 	for _, worker := range loop.workers {
 		worker.tooSlow = loop.uneven[worker.entry.Service] && worker.factor >= limits[worker.entry.Service]
