Choose accelerators without a reclaim in one place of the scheduler

Cause: tryMatchingCell and the start of other jobs had the same choice between open and borrowed accelerators. Result: go test -race ./pkg/scheduler passes.

--- a/pkg/scheduler/matching_cells.go
+++ b/pkg/scheduler/matching_cells.go
@@ -22,13 +22,8 @@
 	if !core.hasClaimableCell(job) {
 		return false
 	}
-	if holdings := core.findOpen(job); holdings != nil {
-		return core.start(now, job, holdings, "free accelerators outside cells")
-	}
-	if job.spec.Profile.Checkpoint && job.preemptible && !job.urgent() {
-		if holdings := core.findAny(job); holdings != nil {
-			return core.start(now, job, holdings, "free accelerators, with borrowing instead of a reclaim")
-		}
+	if holdings, reason := core.findWithoutReclaim(job); holdings != nil {
+		return core.start(now, job, holdings, reason)
 	}
 	return core.reclaimMatchingCell(now, job)
 }
--- a/pkg/scheduler/placement.go
+++ b/pkg/scheduler/placement.go
@@ -184,6 +184,18 @@
 	return core.assemble(job.shape(), core.mixedCandidates(job))
 }
 
+// findWithoutReclaim searches for free accelerators that a job may use instead of reclaiming cells of its organisation,
+// and returns the reason for their choice. Only a job that can be moved at little loss borrows accelerators of cells.
+func (core *Core) findWithoutReclaim(job *jobState) (holdings []holding, reason string) {
+	if holdings := core.findOpen(job); holdings != nil {
+		return holdings, "free accelerators outside cells"
+	}
+	if !job.spec.Profile.Checkpoint || !job.preemptible || job.urgent() {
+		return nil, ""
+	}
+	return core.findAny(job), "free accelerators, with borrowing instead of a reclaim"
+}
+
 // hasOwnFree reports whether any accelerator is free in the organisation's cells.
 func (core *Core) hasOwnFree(job *jobState) bool {
 	for _, machine := range job.organisation.cellWorkers {
