Draw the line plots of the bench by one function

Cause: plotCompletion and plotFragmentation each set up the plot and collected the lines of the results. Change: plotLines does so for both.

--- a/internal/bench/plots.go
+++ b/internal/bench/plots.go
@@ -56,11 +56,7 @@
 
 // plotCompletion draws the cumulative distribution of the completion times of the jobs outside floods.
 func plotCompletion(results []Result) (*plot.Plot, error) {
-	drawn := plot.New()
-	drawn.X.Label.Text = "completion time (s)"
-	drawn.Y.Label.Text = "share of jobs"
-	var lines []any
-	for _, result := range results {
+	return plotLines(results, "completion time (s)", "share of jobs", func(result Result) plotter.XYs {
 		var times []float64
 		for _, outcome := range result.Outcomes {
 			if outcome.Verdict == scheduler.VerdictCompleted && !outcome.Flood {
@@ -72,25 +68,32 @@
 		for i, time := range times {
 			points[i] = plotter.XY{X: time, Y: float64(i+1) / float64(len(times))}
 		}
-		lines = appendLine(lines, result.Candidate, points)
-	}
-	return drawn, plotutil.AddLines(drawn, lines...)
+		return points
+	})
 }
 
 // plotFragmentation draws the fragmentation over the window.
 func plotFragmentation(results []Result) (*plot.Plot, error) {
-	drawn := plot.New()
-	drawn.X.Label.Text = "time (min)"
-	drawn.Y.Label.Text = "fragmentation"
-	var lines []any
-	for _, result := range results {
+	return plotLines(results, "time (min)", "fragmentation", func(result Result) plotter.XYs {
 		var points plotter.XYs
 		for _, sample := range result.Samples {
 			if sample.After <= workloadWindow {
 				points = append(points, plotter.XY{X: sample.After.Minutes(), Y: sample.Fragmentation})
 			}
 		}
-		lines = appendLine(lines, result.Candidate, points)
+		return points
+	})
+}
+
+// plotLines draws one line for each result that has points.
+func plotLines(results []Result, x, y string, pointsOf func(Result) plotter.XYs) (*plot.Plot, error) {
+	drawn := plot.New()
+	drawn.X.Label.Text, drawn.Y.Label.Text = x, y
+	var lines []any
+	for _, result := range results {
+		if points := pointsOf(result); len(points) > 0 {
+			lines = append(lines, result.Candidate, points)
+		}
 	}
 	return drawn, plotutil.AddLines(drawn, lines...)
 }
@@ -120,10 +123,3 @@
 	drawn.NominalX(names...)
 	return drawn, nil
 }
-
-func appendLine(lines []any, name string, points plotter.XYs) []any {
-	if len(points) == 0 {
-		return lines
-	}
-	return append(lines, name, points)
-}
