Share the frame of the commands on one data centre

Cause: the commands evacuate and take-back had the same flags and the same check of the argument. Change: onDataCentre holds both. Result: go test -race ./internal/cli passes.

--- a/internal/cli/evacuation.go
+++ b/internal/cli/evacuation.go
@@ -25,7 +25,10 @@
 	return args[0], nil
 }
 
-func setupEvacuate(flags *flag.FlagSet) func(context.Context, console, []string) error {
+// onDataCentre returns a command that calls the server for the data centre in its only argument.
+func onDataCentre(
+	flags *flag.FlagSet, run func(ctx context.Context, console console, server *server, name string) error,
+) func(context.Context, console, []string) error {
 	server := &server{}
 	server.addFlags(flags)
 	return func(ctx context.Context, console console, args []string) error {
@@ -33,6 +36,12 @@
 		if err != nil {
 			return err
 		}
+		return run(ctx, console, server, name)
+	}
+}
+
+func setupEvacuate(flags *flag.FlagSet) func(context.Context, console, []string) error {
+	return onDataCentre(flags, func(ctx context.Context, console console, server *server, name string) error {
 		response, err := call(ctx, server, server.operatorClient().Evacuate,
 			&operatorv1.EvacuateRequest{DataCentre: name})
 		if err != nil {
@@ -46,17 +55,11 @@
 		}
 		fmt.Fprintf(console.out, "data centre %s is evacuated (revision %d)\n", name, response.Revision)
 		return nil
-	}
+	})
 }
 
 func setupTakeBack(flags *flag.FlagSet) func(context.Context, console, []string) error {
-	server := &server{}
-	server.addFlags(flags)
-	return func(ctx context.Context, console console, args []string) error {
-		name, err := dataCentreArgument(args)
-		if err != nil {
-			return err
-		}
+	return onDataCentre(flags, func(ctx context.Context, console console, server *server, name string) error {
 		response, err := call(ctx, server, server.operatorClient().TakeBack,
 			&operatorv1.TakeBackRequest{DataCentre: name})
 		if err != nil {
@@ -65,7 +68,7 @@
 		fmt.Fprintf(console.out, "data centre %s is taken back (revision %d); it was evacuated since %s\n",
 			name, response.Revision, formatTime(response.SinceUnixMs))
 		return nil
-	}
+	})
 }
 
 // evacuationList is the JSON form of the evacuations.
