Adapt plain functions to Connect by one function

Cause: the worker of the stand-in and the fake peers of the domain tests each had the same generic function. Change: transport.CallUnary replaces both. Result: go test -race passes for ./internal/transport, ./internal/standin/... and ./internal/domain.

--- a/internal/domain/fakes_test.go
+++ b/internal/domain/fakes_test.go
@@ -12,6 +12,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/peer"
 	"github.com/quetzalstall/quetzalstall/internal/platform"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
+	"github.com/quetzalstall/quetzalstall/internal/transport"
 	"github.com/quetzalstall/quetzalstall/internal/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1/peerv1connect"
@@ -415,44 +416,34 @@
 	service *Service
 }
 
-func callPeer[Q, A any](
-	ctx context.Context, request *connect.Request[Q], call func(context.Context, *Q) (*A, error),
-) (*connect.Response[A], error) {
-	response, err := call(ctx, request.Msg)
-	if err != nil {
-		return nil, err
-	}
-	return connect.NewResponse(response), nil
-}
-
 func (link peerLink) SubmitJob(
 	ctx context.Context, request *connect.Request[peerv1.SubmitJobRequest],
 ) (*connect.Response[peerv1.SubmitJobResponse], error) {
-	return callPeer(ctx, request, link.service.SubmitJob)
+	return transport.CallUnary(ctx, request, link.service.SubmitJob)
 }
 
 func (link peerLink) CancelJob(
 	ctx context.Context, request *connect.Request[peerv1.CancelJobRequest],
 ) (*connect.Response[peerv1.CancelJobResponse], error) {
-	return callPeer(ctx, request, link.service.CancelJob)
+	return transport.CallUnary(ctx, request, link.service.CancelJob)
 }
 
 func (link peerLink) ExplainJob(
 	ctx context.Context, request *connect.Request[peerv1.ExplainJobRequest],
 ) (*connect.Response[peerv1.ExplainJobResponse], error) {
-	return callPeer(ctx, request, link.service.ExplainJob)
+	return transport.CallUnary(ctx, request, link.service.ExplainJob)
 }
 
 func (link peerLink) ListEvacuatedWork(
 	ctx context.Context, request *connect.Request[peerv1.ListEvacuatedWorkRequest],
 ) (*connect.Response[peerv1.ListEvacuatedWorkResponse], error) {
-	return callPeer(ctx, request, link.service.ListEvacuatedWork)
+	return transport.CallUnary(ctx, request, link.service.ListEvacuatedWork)
 }
 
 func (link peerLink) JobEnds(
 	ctx context.Context, request *connect.Request[peerv1.JobEndsRequest],
 ) (*connect.Response[peerv1.JobEndsResponse], error) {
-	return callPeer(ctx, request, link.service.JobEnds)
+	return transport.CallUnary(ctx, request, link.service.JobEnds)
 }
 
 // fixedConfig is a configuration that never changes.
--- a/internal/standin/worker/handler.go
+++ b/internal/standin/worker/handler.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzalstall/quetzalstall/internal/transport"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1/workerv1connect"
 )
@@ -23,55 +24,44 @@
 // server adapts a Worker to the generated interface.
 type server struct{ worker *Worker }
 
-// serve unwraps a request, calls the worker and wraps its response.
-func serve[Q, A any](
-	ctx context.Context, request *connect.Request[Q], call func(context.Context, *Q) (*A, error),
-) (*connect.Response[A], error) {
-	response, err := call(ctx, request.Msg)
-	if err != nil {
-		return nil, err
-	}
-	return connect.NewResponse(response), nil
-}
-
 func (server server) Reserve(
 	ctx context.Context, request *connect.Request[workerv1.ReserveRequest],
 ) (*connect.Response[workerv1.ReserveResponse], error) {
-	return serve(ctx, request, server.worker.Reserve)
+	return transport.CallUnary(ctx, request, server.worker.Reserve)
 }
 
 func (server server) Start(
 	ctx context.Context, request *connect.Request[workerv1.StartRequest],
 ) (*connect.Response[workerv1.CommandResponse], error) {
-	return serve(ctx, request, server.worker.Start)
+	return transport.CallUnary(ctx, request, server.worker.Start)
 }
 
 func (server server) Release(
 	ctx context.Context, request *connect.Request[workerv1.CommandRequest],
 ) (*connect.Response[workerv1.CommandResponse], error) {
-	return serve(ctx, request, server.worker.Release)
+	return transport.CallUnary(ctx, request, server.worker.Release)
 }
 
 func (server server) Stop(
 	ctx context.Context, request *connect.Request[workerv1.CommandRequest],
 ) (*connect.Response[workerv1.CommandResponse], error) {
-	return serve(ctx, request, server.worker.Stop)
+	return transport.CallUnary(ctx, request, server.worker.Stop)
 }
 
 func (server server) Checkpoint(
 	ctx context.Context, request *connect.Request[workerv1.CommandRequest],
 ) (*connect.Response[workerv1.CommandResponse], error) {
-	return serve(ctx, request, server.worker.Checkpoint)
+	return transport.CallUnary(ctx, request, server.worker.Checkpoint)
 }
 
 func (server server) Throttle(
 	ctx context.Context, request *connect.Request[workerv1.ThrottleRequest],
 ) (*connect.Response[workerv1.CommandResponse], error) {
-	return serve(ctx, request, server.worker.Throttle)
+	return transport.CallUnary(ctx, request, server.worker.Throttle)
 }
 
 func (server server) Sync(
 	ctx context.Context, request *connect.Request[workerv1.SyncRequest],
 ) (*connect.Response[workerv1.SyncResponse], error) {
-	return serve(ctx, request, server.worker.Sync)
+	return transport.CallUnary(ctx, request, server.worker.Sync)
 }
