Move the measurement of run speeds to pkg/taskspeed

Cause: the samples of a run and its speeds over a window are pure, but were part of internal/control. Its times are durations on the worker's clock. The verdicts, and the time since which a run is slow, stay in internal/control. Tests there share observeIdleMinute.

--- a/internal/control/health_test.go
+++ b/internal/control/health_test.go
@@ -184,8 +184,7 @@
 			for _, found := range test.verdicts {
 				job := loop.submit(1, workload.Step{Tasks: 1, Estimate: time.Second})
 				run := &run{task: workload.TaskID{Job: job.ID}, job: job}
-				run.speeds.observe(sample{at: 1, done: 0}, speedWindow)
-				run.speeds.observe(sample{at: WorkerClock(time.Minute), done: 0}, speedWindow)
+				run.observeIdleMinute()
 				verdicts[run] = found
 			}
 			loop.handleSlowRuns(worker, verdicts)
--- a/internal/control/slowworkers.go
+++ b/internal/control/slowworkers.go
@@ -50,7 +50,7 @@
 // other runs of its step do so on other workers too. The members of a gang all stop when one does, which says nothing of
 // the job.
 func (run *run) blamesWorker(found verdict) bool {
-	if found == slow && (run.speeds.bestSpeed > 0 || run.step().Gang) {
+	if found == slow && (run.speeds.Best() > 0 || run.step().Gang) {
 		return true
 	}
 	steadyElsewhere, behindElsewhere, elsewhere := 0, 0, map[fleet.WorkerID]bool{}
--- a/internal/control/slowworkers_test.go
+++ b/internal/control/slowworkers_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
+	"github.com/quetzalstall/quetzalstall/pkg/taskspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -49,7 +50,7 @@
 				}
 			}
 			if test.faster {
-				judged.speeds.bestSpeed = 0.1
+				judged.speeds.RaiseBest(0.1)
 			}
 			if blamed := judged.blamesWorker(test.found); blamed != test.blamed {
 				t.Errorf("blames the worker: %t, want %t", blamed, test.blamed)
@@ -58,6 +59,12 @@
 	}
 }
 
+// observeIdleMinute adds samples of a minute in which the run made no progress.
+func (run *run) observeIdleMinute() {
+	run.speeds.Observe(taskspeed.Sample{At: 1}, speedWindow)
+	run.speeds.Observe(taskspeed.Sample{At: time.Minute}, speedWindow)
+}
+
 // TestShareOfSlowWorkers guards against a service, a data centre or a rack of which too much is paused on suspicion.
 func TestShareOfSlowWorkers(t *testing.T) {
 	tests := []struct {
@@ -85,9 +92,10 @@
 			for n := range test.workers {
 				worker := loop.workers[fleet.WorkerID(fmt.Sprintf("w%04d", n))]
 				job := loop.submit(1, workload.Step{Tasks: 1, Estimate: time.Second})
-				loop.handleSlowRuns(worker, map[*run]verdict{{task: workload.TaskID{Job: job.ID}, job: job, speeds: speedTracker{
-					samples: []sample{{at: 1}, {at: WorkerClock(time.Minute)}}, bestSpeed: 0.1,
-				}}: slow})
+				placed := &run{task: workload.TaskID{Job: job.ID}, job: job}
+				placed.observeIdleMinute()
+				placed.speeds.RaiseBest(0.1)
+				loop.handleSlowRuns(worker, map[*run]verdict{placed: slow})
 				if worker.health.PausedAsSlow(loop.now) {
 					paused++
 					pausedIn[worker.entry.DataCentre]++
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/taskspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workerhealth"
 	"github.com/quetzalstall/quetzalstall/pkg/workerspeed"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
@@ -40,7 +41,7 @@
 	// soundOn are the workers on which runs of the job have survived or were done in this term.
 	soundOn map[fleet.WorkerID]bool
 	// bestSpeeds is the highest speed observed of any run of each kind.
-	bestSpeeds map[runKind]speed
+	bestSpeeds map[runKind]taskspeed.Speed
 	// suspectedSince has, for the first task of each unit under which a worker crashed in this term, the time of the
 	// latest crash.
 	suspectedSince map[workload.TaskID]time.Duration
@@ -127,9 +128,11 @@
 	restored bool
 	// unit is shared by the runs of the unit; nil if a former controller placed the run.
 	unit   *unitRuns
-	speeds speedTracker
-	// verdict is the latest verdict on the speed of the run.
-	verdict verdict
+	speeds taskspeed.Tracker
+	// verdict is the latest verdict on the speed of the run. slowSince is the time from which the run has been slow or
+	// below its declared speed; 0 while it is neither.
+	verdict   verdict
+	slowSince WorkerClock
 	// crossRack is set if the run's data or a member of its gang is in another rack, which slows the run down.
 	crossRack bool
 	// awaitsReport is set if the start was held back until the next report of the worker.
--- a/internal/control/workerspeeds.go
+++ b/internal/control/workerspeeds.go
@@ -61,8 +61,8 @@
 	if !run.comparableSpeed() || run.unit.partSeen || run.verdict != steady || worker.health.Unreliable() {
 		return
 	}
-	first, last := run.speeds.moving, run.speeds.last()
-	part, span := last.done-first.done, time.Duration(last.at-first.at)
+	first, last := run.speeds.Moving(), run.speeds.Last()
+	part, span := last.Done-first.Done, last.At-first.At
 	if part < minPart || span < speedWindow {
 		return
 	}
