Free the capacity of ended gangs in the played fleet

Cause: the workers of fleetPlay have no links, and the record of a gang does not name its workers any more once one member was done. Change: the play removes ended runs from their worker itself. The bounds of the tests are as before.

--- a/internal/control/failing_workers_test.go
+++ b/internal/control/failing_workers_test.go
@@ -141,6 +141,17 @@
 		})
 	}
 	play.processEnds(worker, ends)
+	play.freeEnded(worker)
+}
+
+// freeEnded frees the capacity of the runs of a worker that have ended. The loop does not find the worker of a run
+// without a link once another member of its gang was done, because the record does not name the worker any more.
+func (play *fleetPlay) freeEnded(worker *worker) {
+	for _, run := range worker.runs {
+		if run.ended.Load() {
+			worker.remove(run)
+		}
+	}
 }
 
 // sortedRuns returns the runs of a worker in an order that does not change between plays.
