Read the image of a step from submitted jobs

Cause: interference between tasks is learnt by kind, and the image is what tells kinds apart best. Change: a step's image is decoded, limited to 512 bytes without control characters, and stored with the job.

--- a/pkg/workload/workload.go
+++ b/pkg/workload/workload.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode"
 
 	"github.com/pkg/errors"
 
@@ -109,6 +110,9 @@
 	// MaxUnavailable is the number of long-running tasks that the scheduler may keep from running at the same time by its
 	// own orders; 0 means that nothing is promised.
 	MaxUnavailable int `json:"may_miss,omitempty"`
+	// Image names the software that the tasks run; empty if the job does not say. Tasks with the same image are expected to
+	// load a worker in the same way; see pkg/interference.
+	Image string `json:"image,omitempty"`
 }
 
 // Need returns the resources that one task takes from the capacity of its worker.
@@ -289,6 +293,9 @@
 // jobs stay far below the largest integer.
 const maxAmount = 1 << 32
 
+// maxImageBytes limits the image of a step: a name of 255 bytes with a tag of 128 and a digest fit.
+const maxImageBytes = 512
+
 func (step Step) check(index int) error {
 	switch {
 	case step.Tasks < 1 || step.Tasks > maxTasks:
@@ -300,6 +307,12 @@
 	case step.MaxPerWorker < 0 || step.MaxUnavailable < 0:
 		return errors.New("the limit of tasks per worker or of unavailable tasks is negative")
 	}
+	if len(step.Image) > maxImageBytes {
+		return errors.Errorf("image: has %d bytes, want at most %d", len(step.Image), maxImageBytes)
+	}
+	if strings.ContainsFunc(step.Image, unicode.IsControl) {
+		return errors.Errorf("image: %.60q contains a control character", step.Image)
+	}
 	for _, earlier := range step.After {
 		if earlier < 0 || earlier >= index {
 			return errors.Errorf("after: %d is not an earlier step", earlier)
--- a/pkg/workload/workload_test.go
+++ b/pkg/workload/workload_test.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
 
-// TestCheckOfOddJobs guards against sums over tasks, jobs and times that overflow.
+// TestCheckOfOddJobs guards against sums over tasks, jobs and times that overflow, and against images that are too long
+// to store with each job or that break the lines of a log.
 func TestCheckOfOddJobs(t *testing.T) {
 	tests := []struct {
 		name   string
@@ -34,6 +36,10 @@
 		{"early", func(job *Job) { job.Schedule.First = time.Date(-1, 1, 1, 0, 0, 0, 0, time.UTC) }, false},
 		{"longest estimate", func(job *Job) { job.Steps[0].Estimate = math.MaxInt64 }, false},
 		{"lowest estimate", func(job *Job) { job.Steps[0].Estimate = math.MinInt64 }, false},
+		{"image", func(job *Job) { job.Steps[0].Image = "registry:5000/team/train:1.2@sha256:ab" }, true},
+		{"longest image", func(job *Job) { job.Steps[0].Image = strings.Repeat("i", 512) }, true},
+		{"too long image", func(job *Job) { job.Steps[0].Image = strings.Repeat("i", 513) }, false},
+		{"image of two lines", func(job *Job) { job.Steps[0].Image = "a\nb" }, false},
 		{"long estimates", func(job *Job) {
 			job.Steps[0].Estimate = 60 * 365 * 24 * time.Hour
 			job.Steps = append(job.Steps, job.Steps[0])
