--- a/pkg/interference/evidence.go
+++ b/pkg/interference/evidence.go
@@ -52,12 +52,14 @@
 	comparisons []comparison
 	// news is set while comparisons have not been evaluated yet.
 	news bool
+	// counts is set while the kind counts as slowed down by the other one.
+	counts bool
 }
 
 // put adds a comparison. It replaces the former one of the same job on the same worker or, beyond a limit, the oldest
 // of the same job, of the same worker or of all.
 func (known *evidence) put(added comparison) {
-	sameJob, sameWorker, any := oldest{index: -1}, oldest{index: -1}, oldest{index: -1}
+	sameJob, sameWorker, overall := oldest{index: -1}, oldest{index: -1}, oldest{index: -1}
 	for i, found := range known.comparisons {
 		if found.job == added.job && found.worker == added.worker {
 			if found.at < added.at {
@@ -71,7 +73,7 @@
 		if found.worker == added.worker {
 			sameWorker.note(i, found.at)
 		}
-		any.note(i, found.at)
+		overall.note(i, found.at)
 	}
 	known.news = true
 	switch {
@@ -79,8 +81,8 @@
 		known.comparisons[sameJob.index] = added
 	case sameWorker.count >= maxAlike:
 		known.comparisons[sameWorker.index] = added
-	case any.count >= maxComparisons:
-		known.comparisons[any.index] = added
+	case overall.count >= maxComparisons:
+		known.comparisons[overall.index] = added
 	default:
 		known.comparisons = append(known.comparisons, added)
 	}
@@ -101,17 +103,11 @@
 
 func (known *evidence) hasNews() bool { return known != nil && known.news }
 
-// forgotten drops comparisons that are too old and reports whether none is left.
-func (known *evidence) forgotten(now time.Duration) bool {
-	if known == nil {
-		return false
-	}
-	known.news = false
-	known.comparisons = slices.DeleteFunc(known.comparisons, func(found comparison) bool {
-		return found.weight(now) < forgottenWeight
-	})
-	return len(known.comparisons) == 0
-}
+// interferes reports whether the kind counts as slowed down.
+func (known *evidence) interferes() bool { return known != nil && known.counts }
+
+// forgotten reports whether no comparison is left.
+func (known *evidence) forgotten() bool { return known == nil || len(known.comparisons) == 0 }
 
 // Estimate is the slowdown of one kind by another.
 type Estimate struct {
@@ -141,15 +137,17 @@
 	return found.weight >= minWeight && found.Confidence >= keepConfidence && found.Slowdown >= keepSlowdown
 }
 
-// exceeds reports whether the estimate is to represent a pair instead of that for the other direction.
-func (found Estimate) exceeds(other Estimate) bool {
-	if found.begins() != other.begins() {
-		return found.begins()
-	}
-	if found.stays() != other.stays() {
-		return found.stays()
+// judge decides whether the kind counts as slowed down, and drops comparisons that are too old.
+func (known *evidence) judge(now time.Duration) {
+	if known == nil {
+		return
 	}
-	return found.Slowdown > other.Slowdown
+	found := known.estimate(now)
+	known.counts = found.begins() || known.counts && found.stays()
+	known.news = false
+	known.comparisons = slices.DeleteFunc(known.comparisons, func(found comparison) bool {
+		return found.weight(now) < forgottenWeight
+	})
 }
 
 // estimate returns the median slowdown over workers. The confidence is the lower of those from the spread over workers
--- a/pkg/interference/learner.go
+++ b/pkg/interference/learner.go
@@ -26,7 +26,7 @@
 	kindResidence = 10 * time.Second
 	// evaluateInterval is the least time between two evaluations of new observations, and sweepInterval that between two
 	// evaluations of pairs without new observations, which only age.
-	evaluateInterval = time.Second
+	evaluateInterval = 2 * time.Second
 	sweepInterval    = 20 * time.Second
 )
 
@@ -191,23 +191,30 @@
 	if one == nil && other == nil || !sweep && !one.hasNews() && !other.hasNews() {
 		return
 	}
-	found := learner.estimate(a, b, now)
-	if one.forgotten(now) {
+	one.judge(now)
+	other.judge(now)
+	learner.setInterfering(a, b, learner.estimate(a, b, now), one.interferes() || other.interferes())
+	if one.forgotten() {
 		learner.slots[a].beside[b] = nil
 	}
-	if other.forgotten(now) {
+	if other.forgotten() {
 		learner.slots[b].beside[a] = nil
 	}
-	interfering := found.begins() || learner.interfering[a].Has(b) && found.stays()
-	learner.setInterfering(a, b, found, interfering)
 }
 
-// estimate returns the estimate for the direction in which a pair has the larger slowdown, among those that are known
-// if any is.
+// estimate returns the estimate for one direction of a pair: that which counts as a slowdown or, if both or none do, that
+// with the larger one.
 func (learner *Learner) estimate(a, b Slot, now time.Duration) Estimate {
-	found := learner.slots[a].beside[b].estimate(now)
-	if other := learner.slots[b].beside[a].estimate(now); other.exceeds(found) {
-		return other
+	one, other := learner.slots[a].beside[b], learner.slots[b].beside[a]
+	found, alternative := one.estimate(now), other.estimate(now)
+	if one.interferes() != other.interferes() {
+		if other.interferes() {
+			return alternative
+		}
+		return found
+	}
+	if alternative.Slowdown > found.Slowdown {
+		return alternative
 	}
 	return found
 }
--- a/pkg/interference/runs.go
+++ b/pkg/interference/runs.go
@@ -18,9 +18,9 @@
 	cellLifetime = HalfLife
 	// maxWindows limits the windows in the mean of a cell, so that later ones replace earlier ones.
 	maxWindows = 8
-	// minOthers is the number of other workers with runs without the neighbour that a run is compared with, and
-	// minWindows the number of windows without it that a serving run is compared with.
-	minOthers  = 2
+	// minOthers is the number of other workers with runs without the neighbour that a run is compared with: the median of
+	// two would follow a slow worker. minWindows is the number of windows without it that a serving run is compared with.
+	minOthers  = 3
 	minWindows = 3
 )
 
@@ -56,6 +56,8 @@
 	length  float64
 	windows int
 	seen    time.Duration
+	// compared is set once the latest window has been compared for each neighbour.
+	compared bool
 }
 
 // stepOf returns the step of an observation, or nil if too many other steps are compared at present.
@@ -91,7 +93,7 @@
 		if known.worker == worker && known.always == observed.Beside.always && known.ever == observed.Beside.ever {
 			known.windows = min(known.windows+1, maxWindows)
 			known.length += (length - known.length) / float64(known.windows)
-			known.seen = observed.At
+			known.seen, known.compared = observed.At, false
 			return
 		}
 		if known.seen < step.cells[oldest].seen {
@@ -127,30 +129,40 @@
 		}
 		step.news = false
 		for i := range step.cells {
-			with := &step.cells[i]
-			for neighbour := range with.always.all() {
-				others := learner.interfering[slot].Without(neighbour)
-				if with.ever&others != 0 || now-with.seen > cellLifetime {
-					continue
-				}
-				reference, ok := step.reference(with, neighbour, others, now)
-				if !ok {
-					continue
-				}
-				if kind.beside[neighbour] == nil {
-					kind.beside[neighbour] = &evidence{}
-				}
-				kind.beside[neighbour].put(comparison{
-					job: identify(string(step.job)), worker: with.worker, references: reference.workers,
-					effect: float32(with.length - reference.length), at: with.seen,
-				})
+			if with := &step.cells[i]; !with.compared && now-with.seen <= cellLifetime {
+				with.compared = kind.compareCell(step, with, learner.interfering[slot], now)
 			}
 		}
 	}
 }
 
-// reference is what a run is compared with: the median of the same step without the neighbour, and the workers of the
-// runs next to the median.
+// compareCell adds evidence from the runs in a cell. It reports whether there were runs to compare it with for each
+// neighbour.
+func (kind *followed) compareCell(step *stepRuns, with *cell, interfering Set, now time.Duration) bool {
+	complete := true
+	for neighbour := range with.always.all() {
+		others := interfering.Without(neighbour)
+		if with.ever&others != 0 {
+			continue
+		}
+		reference, ok := step.reference(with, neighbour, others, now)
+		if !ok {
+			complete = false
+			continue
+		}
+		if kind.beside[neighbour] == nil {
+			kind.beside[neighbour] = &evidence{}
+		}
+		kind.beside[neighbour].put(comparison{
+			job: identify(string(step.job)), worker: with.worker, references: reference.workers,
+			effect: float32(with.length - reference.length), at: with.seen,
+		})
+	}
+	return complete
+}
+
+// reference is what a run is compared with: the median over the workers with runs of the same step without the neighbour,
+// and the workers at or next to the median.
 type reference struct {
 	length  float64
 	workers [2]identity
@@ -159,40 +171,30 @@
 // reference returns the reference for runs beside a neighbour: the runs on other workers without the neighbour and
 // without the other kinds. For a serving step it is the same run at other times.
 func (step *stepRuns) reference(with *cell, neighbour Slot, others Set, now time.Duration) (reference, bool) {
-	var buffer [maxCells]*cell
-	without, windows := buffer[:0], 0
-	for i := range step.cells {
-		found := &step.cells[i]
+	var buffer [maxCells]cell
+	workers, windows := buffer[:0], 0
+	for _, found := range step.cells {
 		if found.ever&others.With(neighbour) != 0 || now-found.seen > cellLifetime ||
 			(found.worker == with.worker) != step.serving {
 			continue
 		}
-		without = append(without, found)
 		windows += found.windows
+		at := slices.IndexFunc(workers, func(earlier cell) bool { return earlier.worker == found.worker })
+		if at < 0 {
+			workers = append(workers, found)
+			continue
+		}
+		workers[at].windows += found.windows
+		workers[at].length += (found.length - workers[at].length) * float64(found.windows) / float64(workers[at].windows)
 	}
-	if step.serving && windows < minWindows || !step.serving && distinctWorkers(without) < minOthers {
+	if step.serving && windows < minWindows || !step.serving && len(workers) < minOthers {
 		return reference{}, false
 	}
-	slices.SortFunc(without, func(a, b *cell) int { return cmp.Compare(a.length, b.length) })
-	low, high := without[(len(without)-1)/2], without[len(without)/2]
-	if low == high && len(without) > 1 {
-		low = without[len(without)/2-1]
-		return reference{length: high.length, workers: [2]identity{low.worker, high.worker}}, true
-	}
-	return reference{
-		length: (low.length + high.length) / 2, workers: [2]identity{low.worker, high.worker},
-	}, true
-}
-
-// distinctWorkers returns the number of workers of cells, up to minOthers.
-func distinctWorkers(cells []*cell) int {
-	count := 0
-	for i, found := range cells {
-		if !slices.ContainsFunc(cells[:i], func(earlier *cell) bool { return earlier.worker == found.worker }) {
-			if count++; count == minOthers {
-				break
-			}
-		}
+	slices.SortFunc(workers, func(a, b cell) int { return cmp.Compare(a.length, b.length) })
+	low, high := workers[(len(workers)-1)/2], workers[len(workers)/2]
+	found := reference{length: (low.length + high.length) / 2, workers: [2]identity{low.worker, high.worker}}
+	if len(workers)%2 == 1 && len(workers) > 1 {
+		found.workers[0] = workers[len(workers)/2-1].worker
 	}
-	return count
+	return found, true
 }
