Keep kinds of task apart that slow each other down

Cause: starts were placed beside kinds that slow them down although other workers had the same room. The setting interference switches it on.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,8 +60,10 @@
 	MaxValueBytes progress.Bytes
 	// Retention is how long the documents of an ended job are kept.
 	Retention time.Duration
-	Logger    hclog.Logger
-	Metrics   gometrics.Registry
+	// Interference has kinds of task kept apart that slow each other down on the same worker.
+	Interference bool
+	Logger       hclog.Logger
+	Metrics      gometrics.Registry
 
 	current atomic.Pointer[dispatcher]
 }
@@ -152,7 +154,8 @@
 	// nextFactors is the earliest time at which the time factors of all workers are computed again.
 	nextFactors time.Duration
 	// arrivals is the recent demand of urgent jobs.
-	arrivals arrivals
+	arrivals     arrivals
+	interference interferenceState
 	// pendingCommits has the times at which the transactions without a known outcome were sent, by the numbers of their
 	// batches.
 	pendingCommits map[int64]time.Duration
@@ -188,8 +191,8 @@
 		invalidEvacuations: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid evacuation request", "evacuation request is valid again"),
 		uneven:         map[fleet.ServiceName]bool{},
-		pendingCommits: map[int64]time.Duration{},
-		advice:         advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
+		pendingCommits: map[int64]time.Duration{}, interference: newInterferenceState(controller.Interference),
+		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
 
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -22,6 +22,8 @@
 	EvacuationsAgeMS int64            `json:"evacuations_age_ms"`
 	// Claims are the units with claimed capacity, as job.occurrence.step.task.
 	Claims []string `json:"claims"`
+	// Interference has the pairs of kinds of task that have been observed beside one another.
+	Interference []PairDump `json:"interference,omitempty"`
 }
 
 // JobDump is the state of a job that has not ended or still has placed tasks.
@@ -92,6 +94,7 @@
 	for key := range loop.claims {
 		dump.Claims = append(dump.Claims, key.String())
 	}
+	dump.Interference = loop.dumpInterference()
 	return dump
 }
 
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -104,6 +104,7 @@
 		return
 	}
 	planner := newPlanner(loop)
+	planner.beginApart(groups)
 	now := time.Now()
 	for i := range groups {
 		planner.rank(&groups[i], now)
@@ -289,6 +290,7 @@
 		job.onStored = append(job.onStored, func() { loop.sendStart(placed, order) })
 		known.updateLink()
 	}
+	loop.noteKind(job, unit.Step, places)
 	loop.Logger.Info("unit placed", "job", string(job.ID), "occurrence", unit.Occurrence, "step", unit.Step,
 		"tasks", len(places), "run", int(number), "workers", distinct(places), "gang", step.Gang,
 		"priority", int(job.policy.Priority), "waited_ms", time.Since(candidate.waitingSince).Milliseconds())
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -21,6 +21,8 @@
 	// urgentNeed is the number of accelerators that the unfinished urgent jobs of each organisation need. It is
 	// computed when it is first needed; see withinGuarantee.
 	urgentNeed map[fleet.OrganisationID]fleet.Accelerators
+	// apart is what keeping kinds of task apart must not take room from.
+	apart waitingShapes
 }
 
 // servicePool is the set of usable workers of one service with their free capacity.
@@ -296,7 +298,7 @@
 	if impliedByRejected(pool.rejected[key], wanted) {
 		return nil, false
 	}
-	places, ok := placement.Place(planner.eligible(workers, candidate), wanted, placement.FreeCapacity, near)
+	places, ok := planner.placeApart(pool, planner.eligible(workers, candidate), wanted, candidate, near)
 	if !ok {
 		pool.rejected[key] = append(pool.rejected[key], wanted)
 	}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -194,6 +194,7 @@
 	loop.recordSurvivors(worker, listed, sent)
 	loop.handleSlowRuns(worker, verdicts)
 	loop.throttle(worker, listing)
+	loop.observeInterference(worker, listing)
 	if len(listing.Ended) >= maxListedEnds {
 		return
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -164,6 +164,8 @@
 	// share at the start of the run.
 	share       Share
 	shareOrders shareOrders
+	// exposed is the present window in which the run is observed beside others; nil if there is none.
+	exposed *exposedWindow
 }
 
 func (run *run) step() workload.Step { return run.job.Steps[run.task.Step] }
@@ -217,6 +219,9 @@
 	// tooSlow is set if urgent work of the service certainly misses its objective on the worker.
 	tooSlow  bool
 	throttle throttleState
+	throttle throttleState
+	// observedAt is the time of the last listing in which interference was observed.
+	observedAt WorkerClock
 }
 
 func newWorker(entry WorkerEntry) *worker {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -41,6 +41,9 @@
 	TooSlow bool
 	// SameStepTasks is the number of tasks on the worker that belong to the same step and occurrence as the demand.
 	SameStepTasks int
+	// Interference is the slowdown to expect from the present runs on the worker, beside tasks of the demand, as a fraction
+	// of the run time; 0 if none is known. It only decides between workers that are equally trusted and costly.
+	Interference float64
 }
 
 // Demand is a set of equal tasks that are placed either all together or not at all.
@@ -114,15 +117,14 @@
 		return bestFit(candidates, demand)
 	}
 	var best []fleet.WorkerID
-	bestSlack := 0
+	bestScore := rackScore{}
 	for members := range byRack(candidates) {
 		places, ok := bestFit(members, demand)
 		if !ok {
 			continue
 		}
-		slack := usableAccelerators(members) + demand.trustPenalty(members, places) + demand.speedPenalty(members, places)
-		if best == nil || slack < bestSlack {
-			best, bestSlack = places, slack
+		if score := demand.scoreRack(members, places); best == nil || score.compare(bestScore) < 0 {
+			best, bestScore = places, score
 		}
 	}
 	return best, best != nil
@@ -213,6 +215,35 @@
 	speedPenalty = 1 << 13
 )
 
+// rackScore compares placements in different racks.
+type rackScore struct {
+	trust, slack int
+	interference float64
+}
+
+// scoreRack returns the score of a placement on some of a rack's candidates.
+func (demand Demand) scoreRack(candidates []candidate, places []fleet.WorkerID) rackScore {
+	score := rackScore{
+		trust: demand.trustPenalty(candidates, places) + demand.speedPenalty(candidates, places),
+		slack: usableAccelerators(candidates),
+	}
+	for _, candidate := range candidates {
+		if candidate.worker.Interference > 0 && slices.Contains(places, candidate.worker.ID) {
+			score.interference += candidate.worker.Interference
+		}
+	}
+	return score
+}
+
+// compare returns a negative number if the placement is better than another one. Without interference, the sum of
+// penalties and slack decides.
+func (score rackScore) compare(other rackScore) int {
+	if score.interference == other.interference {
+		return cmp.Compare(score.trust+score.slack, other.trust+other.slack)
+	}
+	return cmp.Or(cmp.Compare(score.trust, other.trust), cmp.Compare(score.interference, other.interference))
+}
+
 // trustPenalty returns the sum of the penalties for the workers that the placement uses.
 func (demand Demand) trustPenalty(candidates []candidate, places []fleet.WorkerID) int {
 	penalty := 0
@@ -275,8 +306,9 @@
 }
 
 // bestFit places the demand on candidates and returns false if the tasks do not all fit. It prefers candidates that
-// need no preemption, then reliable ones, then those with the least preemption cost. Among equal candidates, it uses
-// those with the least usable capacity first, so that emptier workers stay free for large tasks.
+// need no preemption, then reliable ones, then those with the least preemption cost, then those with the least
+// interference. Among equal candidates, it uses those with the least usable capacity first, so that emptier workers stay
+// free for large tasks.
 func bestFit(candidates []candidate, demand Demand) ([]fleet.WorkerID, bool) {
 	total := 0
 	for _, candidate := range candidates {
@@ -292,6 +324,7 @@
 			cmp.Compare(demand.trustRank(a.worker), demand.trustRank(b.worker)),
 			cmp.Compare(demand.speedRank(a.worker), demand.speedRank(b.worker)),
 			cmp.Compare(a.worker.PreemptionCost, b.worker.PreemptionCost),
+			cmp.Compare(a.worker.Interference, b.worker.Interference),
 			cmp.Compare(a.capacity.Accelerators, b.capacity.Accelerators),
 			cmp.Compare(a.capacity.Millicores, b.capacity.Millicores),
 			cmp.Compare(a.worker.ID, b.worker.ID),
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -48,6 +48,10 @@
 	busy[2].Free, busy[2].Reclaimable, busy[2].PreemptionCost = gpus(0), gpus(8), time.Second
 	busy[1].PreemptionCost = time.Hour
 	busy[3].Free, busy[3].PreemptionCost = gpus(0), time.Hour
+	shared := slices.Clone(workers)
+	shared[1].Interference, shared[2].Interference = 0.3, 0.2
+	apart := slices.Clone(workers)
+	apart[0].Interference = 0.3
 	tests := []struct {
 		name           string
 		workers        []Worker
@@ -71,6 +75,12 @@
 			[]fleet.WorkerID{"a2", "a1", "b1"}},
 		{"tasks already on the worker count towards the limit", held, Demand{Each: gpus(1), Tasks: 1, MaxPerWorker: 1},
 			FreeCapacity, true, []fleet.WorkerID{"a1"}},
+		{"apart from tasks that interfere", shared, Demand{Each: gpus(2), Tasks: 1}, FreeCapacity, true,
+			[]fleet.WorkerID{"a1"}},
+		{"beside tasks that interfere if the others do not suffice", shared, Demand{Each: gpus(3), Tasks: 6},
+			FreeCapacity, true, []fleet.WorkerID{"a1", "a1", "b2", "b2", "b1", "b1"}},
+		{"in a rack without tasks that interfere", apart, Demand{Each: gpus(8), Tasks: 1, SameRack: true},
+			FreeCapacity, true, []fleet.WorkerID{"b1"}},
 		{"preempts at the lowest cost", busy, Demand{Each: gpus(8), Tasks: 1}, ReclaimableCapacity, true,
 			[]fleet.WorkerID{"b1"}},
 		{"total capacity ignores running tasks", busy, Demand{Each: gpus(8), Tasks: 4}, TotalCapacity, true,
