--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -219,7 +219,6 @@
 	// tooSlow is set if urgent work of the service certainly misses its objective on the worker.
 	tooSlow  bool
 	throttle throttleState
-	throttle throttleState
 	// observedAt is the time of the last listing in which interference was observed.
 	observedAt WorkerClock
 }
