--- a/internal/control/interference.go
+++ b/internal/control/interference.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/interference"
+	"github.com/quetzalstall/quetzalstall/pkg/taskspeed"
 )
 
 // interferenceState is what a term has learnt of kinds of task that slow each other down; see pkg/interference.
@@ -48,7 +49,7 @@
 
 // exposedWindow measures a run while the kinds beside it are recorded.
 type exposedWindow struct {
-	from   sample
+	from   taskspeed.Sample
 	last   WorkerClock
 	beside interference.Exposure
 	// tails is the sum of the tail latencies of a serving run, and count their number.
@@ -124,8 +125,8 @@
 ) {
 	now, done := loop.clock(), float64(status.Percent)/100
 	window := run.exposed
-	if window == nil || at < window.last || time.Duration(at-window.last) > maxSampleGap || done < window.from.done {
-		window = &exposedWindow{from: sample{at: at, done: done}}
+	if window == nil || at < window.last || time.Duration(at-window.last) > maxSampleGap || done < window.from.Done {
+		window = &exposedWindow{from: taskspeed.Sample{At: time.Duration(at), Done: done}}
 		run.exposed = window
 	}
 	window.last = at
@@ -137,7 +138,7 @@
 	if length == 0 {
 		return
 	}
-	run.exposed = &exposedWindow{from: sample{at: at, done: done}, last: at}
+	run.exposed = &exposedWindow{from: taskspeed.Sample{At: time.Duration(at), Done: done}, last: at}
 	run.exposed.beside.Add(now, beside)
 	if math.IsInf(length, 0) {
 		return
@@ -153,17 +154,17 @@
 // the tail latency relative to its target. It returns 0 while the window is not complete, and infinity if the window
 // shows nothing.
 func (run *run) windowTime(window *exposedWindow, done float64) float64 {
-	span, step := time.Duration(window.last-window.from.at), &run.job.Steps[run.task.Step]
+	span, step := time.Duration(window.last)-window.from.At, &run.job.Steps[run.task.Step]
 	switch {
 	case run.serves() && span < servingWindow, span < speedWindow,
 		!run.serves() && span < time.Duration(interferenceWindowShare*float64(step.Estimate)):
 		return 0
-	case run.serves() && window.count == 0, !run.serves() && (done >= almostDone || done <= window.from.done):
+	case run.serves() && window.count == 0, !run.serves() && (done >= almostDone || done <= window.from.Done):
 		return math.Inf(1)
 	case run.serves():
 		return window.tails.Seconds() / float64(window.count) / step.TailTarget.Seconds()
 	}
-	return float64(run.declaredSpeed()) / ((done - window.from.done) / span.Seconds())
+	return float64(run.declaredSpeed()) / ((done - window.from.Done) / span.Seconds())
 }
 
 // logInterference logs and counts pairs of kinds that began or ceased to count as interfering.
