Expect runs on workers known as slow to end later

Cause: the time left of a run without measured progress was its declared run time, also on workers known as slow. Change: it is multiplied by the factor of the slowest worker of the unit, where placement depends on speed. Result: TestRemainingTimeOnSlowWorker, which fails without.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -273,6 +273,7 @@
 	runs := make([]*run, len(unit.Tasks))
 	together := &unitRuns{
 		workers: distinct(places), unconfirmed: len(places), resumed: tasks[unit.Tasks[0]].Checkpoint != "",
+		factor: loop.slowestFactor(job.policy.Service, places),
 	}
 	for i, index := range unit.Tasks {
 		known := loop.workers[places[i]]
--- a/internal/control/speed.go
+++ b/internal/control/speed.go
@@ -149,11 +149,11 @@
 }
 
 // remainingTime estimates the time that the run still needs: from its mean speed so far or, until that can be measured,
-// from its declared run time.
+// from its declared run time and the lasting speed of its workers.
 func (run *run) remainingTime(now time.Duration) time.Duration {
 	mean, known := run.speeds.Mean(speedWindow)
 	if !known {
-		return run.step().Estimate - (now - run.startedAt)
+		return run.unit.expected(run.step().Estimate) - (now - run.startedAt)
 	}
 	return mean.Duration(1 - run.speeds.Last().Done)
 }
--- a/internal/control/workerspeeds.go
+++ b/internal/control/workerspeeds.go
@@ -27,10 +27,20 @@
 	startedAt   time.Duration
 	// resumed is set if the runs resumed from a checkpoint, so that their whole run time says nothing.
 	resumed bool
+	// factor is the time factor of the slowest worker as it was known at the start; 0 if placement does not depend on it.
+	factor workerspeed.Factor
 	// partSeen and wholeSeen are set once a part of the work, and all of it, was learnt from.
 	partSeen, wholeSeen bool
 }
 
+// expected returns how long a declared run time is expected to last on the workers of the unit.
+func (unit *unitRuns) expected(declared time.Duration) time.Duration {
+	if unit == nil || unit.factor == 0 {
+		return declared
+	}
+	return time.Duration(float64(unit.factor) * float64(declared))
+}
+
 // confirm records that the start of one of the runs was confirmed.
 func (unit *unitRuns) confirm(now time.Duration) {
 	if unit != nil {
@@ -164,6 +174,18 @@
 	loop.Logger.Info("workers of uneven speed", "service", string(service), "placement_by_speed", uneven, "slow", slow)
 }
 
+// slowestFactor returns the highest time factor of the workers, or 0 if placement in their service does not depend on it.
+func (loop *dispatcher) slowestFactor(service fleet.ServiceName, places []fleet.WorkerID) workerspeed.Factor {
+	slowest := workerspeed.Factor(0)
+	if !loop.uneven[service] {
+		return slowest
+	}
+	for _, id := range places {
+		slowest = max(slowest, loop.workers[id].factor)
+	}
+	return slowest
+}
+
 // speedNeed returns what the objective of a candidate's job asks of the speed of workers.
 func (candidate candidate) speedNeed(now time.Time) workerspeed.Need {
 	policy := candidate.job.policy
--- a/internal/control/workerspeeds_test.go
+++ b/internal/control/workerspeeds_test.go
@@ -98,3 +98,16 @@
 		t.Errorf("factor %.2f is known: %t, want about %.2f", adopted, ok, own)
 	}
 }
+
+// TestRemainingTimeOnSlowWorker guards against runs on a worker known as slow that are expected to end in the declared time.
+func TestRemainingTimeOnSlowWorker(t *testing.T) {
+	test := newTestLoop(t, 1)
+	test.uneven[testService], test.workers["w0000"].factor = true, 2
+	job := test.submit(1, workload.Step{Tasks: 1, Estimate: 10 * time.Second})
+	test.plan()
+	for run := range job.runs {
+		if remaining := run.remainingTime(test.now + 5*time.Second); remaining != 15*time.Second {
+			t.Errorf("%s remain after half of the declared run time, want 15 s", remaining)
+		}
+	}
+}
