Rehearse a plan for a job that is not submitted, and name the reasons

Cause: operators cannot tell where a job would go, or why it would wait, without submitting it. Change: Controller.Explain runs the plan on a copy of the dispatcher that has the job as well. place and stopRun, the two ways in which a plan acts, pass to the rehearsal; startGroup tells it which units come before the job. The explanation has the outcome of each ready step, the reason to wait, and a reason for each worker of the service.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,6 +66,8 @@
 	Metrics      gometrics.Registry
 
 	current atomic.Pointer[dispatcher]
+	// explanations limits the rate of Explain.
+	explanations explanationLimit
 }
 
 // errSuperseded means that another process holds the term now.
@@ -164,6 +166,8 @@
 	// dirty are the jobs whose records differ from the stored ones.
 	dirty      map[fleet.JobID]*job
 	planNeeded bool
+	// rehearsal is set in the copy of a dispatcher that plans without effects for an explanation.
+	rehearsal *rehearsal
 	// nextPlan is the earliest time of the next plan.
 	nextPlan time.Duration
 }
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -261,6 +261,9 @@
 
 // place records the placement of a unit and sends its start orders once the record is stored. It returns the runs.
 func (loop *dispatcher) place(candidate candidate, places []fleet.WorkerID) []*run {
+	if loop.rehearsal != nil {
+		return loop.rehearsal.place(candidate, places)
+	}
 	job, unit, step := candidate.job, candidate.unit, candidate.step()
 	locations := make([]progress.Location, len(places))
 	for i, id := range places {
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -179,6 +179,12 @@
 // startGroup starts the units of a group that fit or whose claimed capacity is free. The units of a group have equal
 // demands, so after the first unit that does not fit it tries only units with claimed capacity.
 func (planner *planner) startGroup(group group) {
+	if rehearsal := planner.loop.rehearsal; rehearsal != nil {
+		if rehearsal.complete() {
+			return
+		}
+		defer rehearsal.follow(planner, group)()
+	}
 	noFit := false
 	for _, unit := range group.units {
 		candidate := group.candidate(unit)
--- a/internal/control/stops.go
+++ b/internal/control/stops.go
@@ -13,6 +13,10 @@
 	if run.stopping {
 		return
 	}
+	if loop.rehearsal != nil {
+		loop.rehearsal.stop(run)
+		return
+	}
 	run.stopping = true
 	run.stopOrdered.Store(true)
 	loop.Logger.Info("run to stop", "task", run.task.String(), "run", int(run.number), "cause", cause)
--- a/pkg/evacuation/evacuation.go
+++ b/pkg/evacuation/evacuation.go
@@ -85,6 +85,13 @@
 	return ok
 }
 
+// Clone returns a copy that changes independently.
+func (requests *Requests) Clone() Requests {
+	clone := *requests
+	clone.since, clone.takenBack = maps.Clone(requests.since), maps.Clone(requests.takenBack)
+	return clone
+}
+
 // Any reports whether any evacuation is requested.
 func (requests *Requests) Any() bool { return len(requests.since) > 0 }
 
