Explain over HTTP and on the command line where a job would go

Cause: the controller explains jobs, and operators reach it only through the metrics address. Change: POST /explain checks a job like a submission and answers with the explanation; a process that does not hold the term names the member that does, with its data centre and address. quetzalstalld -explain sends a file and prints a page, or JSON.

--- a/cmd/quetzalstalld/main.go
+++ b/cmd/quetzalstalld/main.go
@@ -27,7 +27,16 @@
 	path := flag.String("settings", os.Getenv(settingsVariable), "file with the settings of the process")
 	check := flag.Bool("check", false, "check the settings and exit")
 	level := flag.String("log-level", "info", "minimum level of the logged messages: trace, debug, info, warn or error")
+	explained := flag.String("explain", "", "print where the job in this file would go now, without submitting it, and exit")
+	var request platform.ExplainRequest
+	flag.StringVar(&request.Profile, "profile", "", "profile of the job to explain")
+	flag.StringVar(&request.Organisation, "organisation", "", "organisation of the job to explain")
+	flag.StringVar(&request.Address, "at", "", "metrics address of the daemon that explains the job")
+	flag.BoolVar(&request.JSON, "json", false, "print the whole explanation as JSON")
 	flag.Parse()
+	if *explained != "" {
+		return explain(*explained, request)
+	}
 	settings, err := platform.LoadSettings(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "quetzalstalld:", err)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -197,6 +197,14 @@
 	return false
 }
 
+// Member returns the member with a name, or false if it is not listed.
+func (roster *Roster) Member(name string) (Member, bool) {
+	roster.mu.Lock()
+	defer roster.mu.Unlock()
+	member, ok := roster.members[name]
+	return member.Member, ok
+}
+
 // PeerAddresses returns the addresses of all other members, except members without an address.
 func (roster *Roster) PeerAddresses() []string {
 	roster.mu.Lock()
