--- a/internal/control/explain_test.go
+++ b/internal/control/explain_test.go
@@ -119,7 +119,7 @@
 			[]WorkerReason{WorkerEvacuated, WorkerAccelerators}},
 		{"starts blocked", 2, func(test *testLoop) { test.evacuations.MaxAge = time.Second },
 			explained(1, tasksOf(1, 8, time.Minute)), StartsBlocked, []WorkerReason{WorkerChosen, WorkerNotNeeded}},
-		{"unusable workers", 8, func(test *testLoop) {
+		{"unusable workers", 10, func(test *testLoop) {
 			test.numbered(0).entry.Draining = true
 			test.numbered(2).settled = false
 			test.numbered(3).unresponsive = true
@@ -129,9 +129,14 @@
 			test.now += 3 * time.Second
 			test.numbered(1).health.Pause(test.now, time.Minute)
 			test.numbered(7).entry.Service = "other"
+			suspect := &run{isolated: true, startedAt: test.now, job: &job{Job: explained(1, gang)}}
+			test.numbered(8).runs[suspect.task] = suspect
+			test.DecodeEvacuation, test.numbered(9).entry.DataCentre = decodeTestEvacuation, evacuatedCentre
+			test.observeEvacuations(evacuationChange(evacuatedCentre, false), false)
+			test.observeEvacuations(evacuationChange(evacuatedCentre, true), false)
 		}, explained(1, gang), WaitsForUsable, []WorkerReason{
 			WorkerDraining, WorkerPaused, WorkerNotSettled, WorkerUnresponsive, WorkerNotListed, WorkerUnexpectedRuns,
-			WorkerOnProbation,
+			WorkerOnProbation, WorkerIsolating, WorkerTakenBack,
 		}},
 		{"gangs", 2, func(test *testLoop) {
 			test.Catalog = func() *catalog.Catalog {
