--- a/internal/control/explain_rehearsal.go
+++ b/internal/control/explain_rehearsal.go
@@ -113,7 +113,8 @@
 		MaxReportAge: controller.MaxReportAge, ReportsOutdated: controller.ReportsOutdated,
 		LeaseDuration: controller.LeaseDuration, MaxLease: controller.MaxLease,
 		FormerLeaseLimit: controller.FormerLeaseLimit, MaxValueBytes: controller.MaxValueBytes,
-		Retention: controller.Retention, Logger: hclog.NewNullLogger(), Metrics: gometrics.NewRegistry(),
+		Retention: controller.Retention, Interference: controller.Interference,
+		Logger: hclog.NewNullLogger(), Metrics: gometrics.NewRegistry(),
 	}
 }
 
