Keep the headroom that pkg/demand decides

Cause: urgent gangs wait at the crest of a wave of demand. Change: the controller passes the urgent jobs that it takes to the estimator and asks it in each plan. The metrics headroom_accelerators and urgent_accelerators_per_second, the log line 'headroom changed' and the section demand of the dump show the decisions.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -154,10 +154,9 @@
 	storedSpeeds storedSpeeds
 	uneven       map[fleet.ServiceName]bool
 	// nextFactors is the earliest time at which the time factors of all workers are computed again.
-	nextFactors time.Duration
-	// arrivals is the recent demand of urgent jobs.
-	arrivals     arrivals
+	nextFactors  time.Duration
 	interference interferenceState
+	headroom     headroom
 	// pendingCommits has the times at which the transactions without a known outcome were sent, by the numbers of their
 	// batches.
 	pendingCommits map[int64]time.Duration
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/quetzalstall/quetzalstall/pkg/demand"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
@@ -24,6 +25,8 @@
 	Claims []string `json:"claims"`
 	// Interference has the pairs of kinds of task that have been observed beside one another.
 	Interference []PairDump `json:"interference,omitempty"`
+	// Demand is the estimated demand of urgent jobs, by service.
+	Demand []demand.ServiceEstimate `json:"demand"`
 }
 
 // JobDump is the state of a job that has not ended or still has placed tasks.
@@ -95,6 +98,7 @@
 		dump.Claims = append(dump.Claims, key.String())
 	}
 	dump.Interference = loop.dumpInterference()
+	dump.Demand = loop.headroom.estimator.Estimates(loop.clock())
 	return dump
 }
 
--- a/internal/control/headroom.go
+++ b/internal/control/headroom.go
@@ -3,56 +3,77 @@
 import (
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/quetzalstall/quetzalstall/internal/metrics"
+	"github.com/quetzalstall/quetzalstall/pkg/demand"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
 const (
-	// arrivalWindow is the period over which the demand of arriving urgent jobs is summed.
-	arrivalWindow = 8 * time.Second
-	// headroomTime is the period whose expected demand of urgent jobs is kept free. The expectation is the mean demand
-	// per second over arrivalWindow.
-	headroomTime = 2500 * time.Millisecond
-	// headroomShare is the largest fraction of a service's accelerators that is kept free for urgent jobs.
-	headroomShare = 0.25
+	// headroomLogPause is the shortest time between two log lines about the headroom of a service.
+	headroomLogPause = 5 * time.Second
+	// headroomLogChange is the change of the headroom that is logged, as a fraction of the service's accelerators.
+	headroomLogChange = 0.1
 )
 
-// arrival is the arrival of an urgent job, with the number of accelerators that the first step of the job needs.
-type arrival struct {
-	at           time.Duration
-	service      fleet.ServiceName
-	accelerators fleet.Accelerators
+// headroom decides how many accelerators of each service are kept free for urgent jobs. The zero value knows no
+// arrivals.
+type headroom struct {
+	estimator demand.Estimator
+	logged    map[fleet.ServiceName]loggedHeadroom
 }
 
-// arrivals are the arrivals of urgent jobs within arrivalWindow, the oldest first.
-type arrivals []arrival
+// loggedHeadroom is the decision that was last logged for a service.
+type loggedHeadroom struct {
+	demand.Decision
+	at time.Duration
+}
 
 // add records the arrival of a job if the job is urgent.
-func (arrivals *arrivals) add(now time.Duration, job *job) {
+func (headroom *headroom) add(now time.Duration, job *job) {
 	if job.policy.Priority != workload.Urgent {
 		return
 	}
 	first := job.Steps[0]
-	need := first.Each.Accelerators * fleet.Accelerators(first.Tasks)
-	*arrivals = append(*arrivals, arrival{at: now, service: job.policy.Service, accelerators: need})
+	headroom.estimator.Observe(now, demand.Arrival{
+		Service: job.policy.Service, Profile: job.Profile,
+		Accelerators: first.Each.Accelerators * fleet.Accelerators(first.Tasks),
+	})
 }
 
-// expire drops the arrivals that are older than arrivalWindow.
-func (arrivals *arrivals) expire(now time.Duration) {
-	for len(*arrivals) > 0 && now-(*arrivals)[0].at > arrivalWindow {
-		*arrivals = (*arrivals)[1:]
+// keptFree returns the number of accelerators to keep free for urgent jobs of a service. all is the number of
+// accelerators of the service.
+func (loop *dispatcher) keptFree(
+	now time.Duration, service fleet.ServiceName, all fleet.Accelerators,
+) fleet.Accelerators {
+	decision := loop.headroom.estimator.Headroom(now, service, all)
+	gauge := func(name string) gometrics.GaugeFloat64 {
+		return gometrics.GetOrRegisterGaugeFloat64(metrics.Name(name, "service", string(service)), loop.Metrics)
 	}
+	gauge("headroom_accelerators").Update(float64(decision.Kept))
+	gauge("urgent_accelerators_per_second").Update(decision.Rate)
+	loop.headroom.log(loop.Logger, now, service, all, decision)
+	return decision.Kept
 }
 
-// headroom returns the number of accelerators to keep free for urgent jobs of a service. all is the number of
-// accelerators of the service.
-func (arrivals arrivals) headroom(service fleet.ServiceName, all fleet.Accelerators) fleet.Accelerators {
-	requested := fleet.Accelerators(0)
-	for _, arrival := range arrivals {
-		if arrival.service == service {
-			requested += arrival.accelerators
-		}
+// log logs that the headroom follows a wave or does so no longer, or has changed much while it follows one.
+func (headroom *headroom) log(
+	logger hclog.Logger, now time.Duration, service fleet.ServiceName, all fleet.Accelerators, decision demand.Decision,
+) {
+	last, known := headroom.logged[service]
+	change := max(decision.Kept-last.Kept, last.Kept-decision.Kept)
+	changedMuch := decision.Wave && float64(change) > headroomLogChange*float64(all)
+	if decision.Wave == last.Wave && !changedMuch || known && now-last.at < headroomLogPause {
+		return
+	}
+	if headroom.logged == nil {
+		headroom.logged = map[fleet.ServiceName]loggedHeadroom{}
 	}
-	expected := float64(requested) * float64(headroomTime) / float64(arrivalWindow)
-	return fleet.Accelerators(min(expected, headroomShare*float64(all)))
+	headroom.logged[service] = loggedHeadroom{Decision: decision, at: now}
+	logger.Info("headroom changed", "service", string(service), "kept_accelerators", int(decision.Kept),
+		"steady_accelerators", int(decision.Steady), "of", int(all), "accelerators_per_second", decision.Rate,
+		"wave", decision.Wave)
 }
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -90,7 +90,7 @@
 	delete(loop.pendingRecords, accepted.ID)
 	if !ok {
 		loop.jobs[accepted.ID], loop.openJobs[accepted.ID] = added, added
-		loop.arrivals.add(loop.clock(), added)
+		loop.headroom.add(loop.clock(), added)
 		loop.Logger.Info("job taken", "job", string(accepted.ID), "profile", string(accepted.Profile),
 			"waited_ms", time.Since(accepted.Accepted).Milliseconds())
 		return
--- a/internal/control/planner.go
+++ b/internal/control/planner.go
@@ -108,12 +108,11 @@
 			pool.onProbation = append(pool.onProbation, usable)
 		}
 	}
-	loop.arrivals.expire(planner.now)
 	for name, pool := range planner.pools {
 		pool.computeUtilisation()
 		pool.uneven = loop.uneven[name]
 		protected := placement.HeadroomWorkers(
-			pool.fastEnough(), loop.arrivals.headroom(name, pool.capacity))
+			pool.fastEnough(), loop.keptFree(planner.now, name, pool.capacity))
 		for _, worker := range pool.all {
 			if !protected[worker.ID] {
 				pool.unprotected = append(pool.unprotected, worker)
