Play more waves in the test of the headroom

Cause: the played fleet frees the capacity of ended gangs now, which took away the load that the test needs. Change: the rate of the wave is an eighth higher; the bounds are as they were.

--- a/internal/control/headroom_test.go
+++ b/internal/control/headroom_test.go
@@ -55,7 +55,7 @@
 			play.replayArrivals()
 		}
 		play.advance()
-		play.removeEnded()
+		play.sumIdle()
 		waiting = slices.DeleteFunc(waiting, func(job timedJob) bool {
 			if len(job.runs) > 0 && job.at > warmUp {
 				play.waits = append(play.waits, play.now-job.at)
@@ -85,15 +85,9 @@
 	}
 }
 
-// removeEnded removes the runs of jobs that are done and sums what is free. Without links the loop does not find the
-// worker of a gang's member whose end is recorded already.
-func (play *demandPlay) removeEnded() {
+// sumIdle sums what is free.
+func (play *demandPlay) sumIdle() {
 	for _, worker := range play.workers {
-		for _, run := range worker.runs {
-			if run.job.record.State.Terminal() {
-				worker.remove(run)
-			}
-		}
 		if free := worker.entry.Capacity.Sub(worker.used).Accelerators; play.now > warmUp {
 			play.idle += float64(free) / (playWorkers * 8) * float64(playStep) / float64(demandTime-warmUp)
 		}
@@ -104,7 +98,7 @@
 // the headroom follows the demand late, against more idle accelerators, and against longer waits than before while
 // demand is steady or comes in bursts.
 func TestUnevenDemand(t *testing.T) {
-	wave := func(at time.Duration) float64 { return 4 + 2*math.Sin(2*math.Pi*at.Seconds()/17) }
+	wave := func(at time.Duration) float64 { return 4.5 + 2.25*math.Sin(2*math.Pi*at.Seconds()/17) }
 	tests := []struct {
 		name      string
 		perSecond func(time.Duration) float64
