Explain with a copy of the demand that is known

Cause: an explanation plays a plan, which decides the headroom. Result: TestExplanationIsThePlan passes; it sorts the metrics that it compares, whose order is not fixed.

--- a/internal/control/explain_rehearsal.go
+++ b/internal/control/explain_rehearsal.go
@@ -98,8 +98,8 @@
 		copied.openJobs[id] = &open
 	}
 	copied.openJobs[explainedID] = rehearsal.asked
-	copied.arrivals = slices.Clone(loop.arrivals)
-	copied.arrivals.add(loop.clock(), rehearsal.asked)
+	copied.headroom = headroom{estimator: loop.headroom.estimator.Clone(), logged: maps.Clone(loop.headroom.logged)}
+	copied.headroom.add(loop.clock(), rehearsal.asked)
 	return &copied
 }
 
--- a/internal/control/explain_test.go
+++ b/internal/control/explain_test.go
@@ -175,9 +175,12 @@
 // recordOfState returns all that a plan may change, as text.
 func (test *testLoop) recordOfState(t *testing.T) string {
 	loop, text := test.dispatcher, &strings.Builder{}
-	loop.Metrics.Each(func(name string, metric any) { fmt.Fprintln(text, name, metric) })
+	var values []string
+	loop.Metrics.Each(func(name string, metric any) { values = append(values, fmt.Sprintln(name, metric)) })
+	slices.Sort(values)
+	fmt.Fprint(text, values)
 	fmt.Fprintln(text, loop.withheldSince, loop.backgroundCrashes, loop.advice, loop.evacuations, loop.startsBlocked,
-		loop.speeds, loop.uneven, loop.nextFactors, loop.arrivals, loop.pendingCommits, len(loop.dirty), loop.planNeeded,
+		loop.speeds, loop.uneven, loop.nextFactors, loop.headroom.estimator.Estimates(test.now), loop.pendingCommits, len(loop.dirty), loop.planNeeded,
 		loop.nextPlan, len(loop.jobs), len(loop.openJobs))
 	for _, key := range slices.SortedFunc(maps.Keys(loop.claims), func(a, b workload.TaskID) int {
 		return strings.Compare(a.String(), b.String())
--- a/pkg/demand/demand.go
+++ b/pkg/demand/demand.go
@@ -59,6 +59,23 @@
 	known.observe(now, arrival)
 }
 
+// Clone returns a copy that shares no state with the estimator.
+func (estimator *Estimator) Clone() Estimator {
+	cloned := Estimator{
+		recent: slices.Clone(estimator.recent), services: make(map[fleet.ServiceName]*service, len(estimator.services)),
+	}
+	for name, known := range estimator.services {
+		copied := *known
+		copied.profiles = make(map[fleet.ProfileName]*profile, len(known.profiles))
+		for id, former := range known.profiles {
+			own := *former
+			copied.profiles[id] = &own
+		}
+		cloned.services[name] = &copied
+	}
+	return cloned
+}
+
 // dropIdle drops the services without arrivals for longer than a series lasts.
 func (estimator *Estimator) dropIdle(now time.Duration) {
 	maps.DeleteFunc(estimator.services, func(_ fleet.ServiceName, known *service) bool {
