--- a/internal/control/workerspeeds.go
+++ b/internal/control/workerspeeds.go
@@ -55,7 +55,7 @@
 	minPart = 0.15
 	// partWeight is the weight of an observation of a part of a run. The whole run follows, and counts 1.
 	partWeight = 0.5
-	// minWholeRun is the run time from which on the delays of start and end in the measured time are small.
+	// minWholeRun is the run time from which on the delays of its start and its end are small beside it.
 	minWholeRun = 400 * time.Millisecond
 )
 
