--- a/internal/control/intime.go
+++ b/internal/control/intime.go
@@ -33,7 +33,7 @@
 		planner.endingSoonOnFast(pool) >= wanted.Each.Accelerators*fleet.Accelerators(wanted.Tasks)
 }
 
-// suffices reports whether a unit can still meet its objective on some worker that is known.
+// suffices reports whether a unit can still meet its objective on some worker.
 func (pool *servicePool) suffices(need workerspeed.Need) bool {
 	return slices.ContainsFunc(pool.all, func(worker *placement.Worker) bool { return worker.Factor <= need.Longest })
 }
