--- a/pkg/workerspeed/workerspeed_test.go
+++ b/pkg/workerspeed/workerspeed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -132,3 +133,27 @@
 		t.Error("late units do not prefer fast workers")
 	}
 }
+
+// BenchmarkDesignSize reports the memory of what is known of 12,000 workers, the size of its stored form, and the time to
+// look up all factors, which a controller does twice a second.
+func BenchmarkDesignSize(b *testing.B) {
+	const workers = 12_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	names := make([]fleet.WorkerID, workers)
+	var known Fleet
+	for i := range names {
+		names[i] = fleet.WorkerID(fmt.Sprintf("i-%010x", i))
+		known.Observe(Observation{Workers: names[i : i+1], Factor: 1.7, Weight: 1}, 0)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		for _, name := range names {
+			known.Factor(name, time.Second)
+		}
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MiB")
+	b.ReportMetric(float64(len(known.Encode(0)))/(1<<10), "KiB_stored")
+}
