--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -124,11 +124,15 @@
 // mayStart reports whether the known evacuations are young enough for starts.
 func (loop *dispatcher) mayStart() bool {
 	current := loop.evacuations.Current(loop.clock())
-	if current == loop.startsBlocked {
-		loop.startsBlocked = !current
-		age, _ := loop.evacuations.Age(loop.clock())
-		loop.Logger.Warn("evacuations confirmed or not confirmed in time", "starts_blocked", !current,
-			"age_ms", age.Milliseconds())
+	if current != loop.startsBlocked {
+		return current
+	}
+	loop.startsBlocked = !current
+	age, _ := loop.evacuations.Age(loop.clock())
+	if current {
+		loop.Logger.Info("evacuations confirmed; tasks start again", "age_ms", age.Milliseconds())
+	} else {
+		loop.Logger.Warn("evacuations not confirmed; no task starts", "age_ms", age.Milliseconds())
 	}
 	return current
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -210,9 +210,9 @@
 	// first for all workers of a rack, so that placements on more trusted workers are always preferred.
 	unprovenPenalty   = 1 << 12
 	unreliablePenalty = 1 << 24
-	// speedPenalty is added for each step of the speed rank of the worker that is preferred least, because a gang goes at
+	// speedRankPenalty is added for each step of the speed rank of the worker that is preferred least, because a gang goes at
 	// the pace of its slowest member. It exceeds the number of accelerators in a rack.
-	speedPenalty = 1 << 13
+	speedRankPenalty = 1 << 13
 )
 
 // rackScore compares placements in different racks.
@@ -293,7 +293,7 @@
 			worst = max(worst, demand.speedRank(candidate.worker))
 		}
 	}
-	return worst * speedPenalty
+	return worst * speedRankPenalty
 }
 
 // usableAccelerators returns the number of accelerators in the usable capacity of all candidates.
