Log and count what is known of the beginning of jobs, and the age of the count of pending ones

The hypotheses on jobs that are left out of the pending ones could not be told apart: nothing said by what evidence a job counts as begun, whether its placed runs have begun, what a count was, or how old the copy behind it was.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -301,6 +301,7 @@
 			loop.removeWorker(worker)
 		}
 	}
+	loop.countJobsNotBegun()
 	loop.storeSpeeds()
 	if loop.clock()-loop.lastExpiry > expiryInterval {
 		loop.lastExpiry = loop.clock()
@@ -309,6 +310,17 @@
 	}
 }
 
+// countJobsNotBegun updates the gauge of the jobs that have placed runs although no task of them is known to have begun.
+func (loop *dispatcher) countJobsNotBegun() {
+	count := int64(0)
+	for _, job := range loop.openJobs {
+		if len(job.runs) > 0 && !job.record.Begun {
+			count++
+		}
+	}
+	gometrics.GetOrRegisterGauge("placed_jobs_not_begun", loop.Metrics).Update(count)
+}
+
 // leasesExpired reports whether a worker is unresponsive, or has no link because its entry has not been read in this
 // term, and every lease on the worker has certainly expired. No run can be left there then.
 func (loop *dispatcher) leasesExpired(worker *worker) bool {
--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -36,7 +36,9 @@
 	Profile      fleet.ProfileName    `json:"profile"`
 	Priority     workload.Priority    `json:"priority"`
 	State        progress.State       `json:"state"`
-	AgeMS        int64                `json:"age_ms"`
+	// Begun is set once a task may have begun on a worker.
+	Begun bool  `json:"begun"`
+	AgeMS int64 `json:"age_ms"`
 	// Tasks counts the tasks in each phase.
 	Tasks map[string]int `json:"tasks"`
 	// Unsaved is set while the record differs from the stored one.
@@ -120,7 +122,7 @@
 	}
 	return JobDump{
 		ID: job.ID, Organisation: job.Organisation, Profile: job.Profile, Priority: job.policy.Priority,
-		State: job.status.State, AgeMS: time.Since(job.Accepted).Milliseconds(), Tasks: tasks,
+		State: job.status.State, Begun: job.record.Begun, AgeMS: time.Since(job.Accepted).Milliseconds(), Tasks: tasks,
 		Unsaved: dirty || job.writing,
 	}
 }
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -21,6 +21,11 @@
 	presenceListed
 )
 
+// String returns the name of the presence in logs.
+func (presence presence) String() string {
+	return [...]string{"none", "possible", "recorded", "confirmed", "listed"}[presence]
+}
+
 func (run *run) presence() presence {
 	switch {
 	case !run.startSent:
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -182,7 +182,7 @@
 		known.job.record.SetCheckpoint(known.job.Job, known.task, known.number, status.Checkpoint)
 		if known.firstListed == 0 {
 			known.firstListed = loop.clock()
-			known.job.record.Begun = true
+			loop.noteBegun(known, "listed")
 		}
 		known.working, known.listedAt = status.Percent >= fullPercent, loop.clock()
 		loop.clearSuspicion(known, sent)
@@ -205,6 +205,21 @@
 	}
 }
 
+// noteBegun records that a worker is known to have begun a task of the job of a run, by the given evidence.
+func (loop *dispatcher) noteBegun(run *run, evidence string) {
+	if run.job.record.Begun {
+		return
+	}
+	run.job.record.Begun = true
+	loop.logBegun(run, evidence)
+}
+
+func (loop *dispatcher) logBegun(run *run, evidence string) {
+	loop.Logger.Info("job begun", "job", string(run.job.ID), "task", run.task.String(), "run", int(run.number),
+		"evidence", evidence, "presence", run.presence().String(),
+		"age_ms", time.Since(run.job.Accepted).Milliseconds())
+}
+
 // mustBeListed reports whether a listing that was requested at the given local time, and made at the given time of the
 // worker's clock, proves that the run does not exist if it lacks the run. It does so after the worker has confirmed the
 // start or the stop of the run. It also does so after the deadline of the start, because the worker refuses a start
@@ -221,9 +236,13 @@
 	if outcome == progress.RunDone {
 		loop.learnFromEnd(run, worker)
 	}
+	begun := job.record.Begun
 	if !run.recordEnd(outcome, checkpoint) {
 		return
 	}
+	if job.record.Begun && !begun {
+		loop.logBegun(run, cause)
+	}
 	loop.recordEnd(run, worker, outcome, cause)
 	switch {
 	case job.record.State == progress.Failed:
@@ -271,7 +290,8 @@
 	run.job.noteEnd(run.task, loop.clock())
 	loop.planNeeded = true
 	fields := []any{"task", run.task.String(), "run", int(run.number), "how", string(outcome), "cause", cause,
-		"ran_ms", (loop.clock() - run.startedAt).Milliseconds(), "state", string(run.job.record.State)}
+		"ran_ms", (loop.clock() - run.startedAt).Milliseconds(), "state", string(run.job.record.State),
+		"presence", run.presence().String()}
 	if worker != nil {
 		fields = append(fields, "worker", string(worker.entry.ID))
 	}
@@ -362,7 +382,7 @@
 		return
 	}
 	if err == nil {
-		placed.job.record.Begun = true
+		loop.noteBegun(placed, "start answered")
 		placed.listedAfter = loop.clock()
 		placed.unit.confirm(loop.clock())
 		placed.confirmStart(outcome, worker.link.token, loop.clock())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,6 +77,8 @@
 	Tombstones    *ledger.TombstoneCache
 	// StatusesSynced reports whether all stored statuses have been read into Statuses at least once.
 	StatusesSynced func() bool
+	// StatusesAge is the time since Statuses was known to be complete. It includes the time for which the VM was suspended.
+	StatusesAge func() time.Duration
 	// StoreLost reports whether this process cannot reach the store. While it cannot, submissions and cancellations are
 	// refused at once, because the caller gets a response sooner from another process.
 	StoreLost func() bool
@@ -103,6 +105,9 @@
 	// version and age are those of the configuration.
 	version int64
 	age     time.Duration
+	// pending is the count that a query was answered with, and statusesAge the age of the copy of the statuses it is from.
+	pending     int
+	statusesAge time.Duration
 }
 
 // admit routes and authenticates a request whose effect depends on a condition for the configuration. Before it refuses
@@ -204,6 +209,9 @@
 	if err != nil {
 		fields = append(fields, "reason", err.Error(), "path", request.Path)
 	}
+	if call == callPending {
+		fields = append(fields, "pending", admitted.pending, "statuses_age_ms", admitted.statusesAge.Milliseconds())
+	}
 	gateway.Logger.Info("request decided", fields...)
 	return err
 }
@@ -301,7 +309,10 @@
 		return Answer{}, gateway.recordOutcome(callState, request, admitted, started, err)
 	}
 	if admitted.job == "" {
+		admitted.statusesAge = gateway.StatusesAge()
 		answer, err := gateway.pending(admitted)
+		admitted.pending = answer.Pending
+		metrics.Observe(gateway.Metrics, "pending_statuses_age_milliseconds", admitted.statusesAge)
 		return answer, gateway.recordOutcome(callPending, request, admitted, started, err)
 	}
 	entry, err := gateway.status(ctx, admitted)
--- a/internal/ledger/statuscache.go
+++ b/internal/ledger/statuscache.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -20,6 +21,8 @@
 	// memory is the sum of Memory of all entries, and organisationMemory that of the entries of each organisation.
 	memory             progress.Bytes
 	organisationMemory map[fleet.OrganisationID]progress.Bytes
+	// confirmedAt is the latest reading of the clock at which the cache was certainly complete; 0 before the first listing.
+	confirmedAt time.Duration
 }
 
 // StatusEntry is a job status with its revision in the store.
@@ -70,6 +73,20 @@
 	cache.entries.retain(listed)
 }
 
+// Confirm records that the cache was complete at a reading of the clock.
+func (cache *StatusCache) Confirm(at time.Duration) {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	cache.confirmedAt = max(cache.confirmedAt, at)
+}
+
+// ConfirmedAt returns the latest reading of the clock at which the cache was certainly complete.
+func (cache *StatusCache) ConfirmedAt() time.Duration {
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	return cache.confirmedAt
+}
+
 // Update stores a status that this process has written to or read from the store itself.
 func (cache *StatusCache) Update(id fleet.JobID, entry StatusEntry) {
 	cache.mu.Lock()
