Show a job as running only once a worker has begun a task of it

Callers got a count of pending jobs that left out jobs of which no task had started, and saw such jobs as running. The controller stored the state running with the decision to place the first task, and took back that state only if the run had certainly not begun and nothing else was placed. Runs that a former controller had placed counted as begun even when they were never listed, so that their jobs were left out until they ended.

The state follows the evidence now: a worker has answered a start, or lists a run or the end of one. Records of earlier versions, which say running without being marked as begun, count as waiting until a worker lists a run.

--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/internal/lifecycle"
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
 )
 
 const (
@@ -25,20 +27,33 @@
 	maxCommitRetry = 320 * time.Millisecond
 	// entriesPerJob is the maximum number of entries that a job adds to a transaction: two conditions and two writes.
 	entriesPerJob = 4
-	jobsPerCommit = (keyvalue.MaxEntries - 1) / entriesPerJob
 )
 
-// version is a version of a job's record that is being stored.
+// version is a version of a job's record or status, or of both, that is being stored.
 type version struct {
-	job    *job
+	job *job
+	// record is nil if only the status is stored.
 	record []byte
-	// status is the job's status if it has to be stored with the record, and nil otherwise. It is stored on condition
-	// that the status in the store still has the revision statusRevision.
-	status         *ledger.Status
+	// status is the job's status if it has to be stored, and nil otherwise.
+	status *ledger.Status
+	// statusRevision is the revision that the status in the store must still have; 0 if that does not matter.
 	statusRevision keyvalue.Revision
 	onStored       []func()
 }
 
+// isStored reports whether the documents in the store, as a conflict shows them, are this version.
+func (version version) isStored(conflict *keyvalue.ConflictError) (keyvalue.Revision, bool) {
+	key, value := ledger.RecordKey(version.job.ID), version.record
+	if value == nil {
+		key, value = ledger.StatusKey(version.job.ID), ledger.Encode(version.status)
+	}
+	item, ok := conflict.Current(key)
+	if !ok || !bytes.Equal(item.Value, value) {
+		return 0, false
+	}
+	return item.Revision, true
+}
+
 // batch is a transaction with the versions that it stores.
 type batch struct {
 	// number identifies the batch in this term.
@@ -49,6 +64,12 @@
 	txn  keyvalue.Txn
 }
 
+// full reports whether the transaction takes no further job.
+func (batch *batch) full() bool {
+	entries := len(batch.txn.Conditions) + len(batch.txn.Writes)
+	return entries > keyvalue.MaxEntries-entriesPerJob || batch.size >= maxBatchBytes
+}
+
 const (
 	// commitPatience is the time for which a flush waits for the transactions of earlier ones, so that one transaction
 	// stores what has changed meanwhile. A slower transaction holds up nothing but its own jobs.
@@ -60,30 +81,26 @@
 	maxBatchBytes = 64 << 10
 )
 
-// flush stores the changed records. It does nothing while transactions of an earlier flush are pending, unless they are
-// slow. Records that are being stored are left for a later flush, so that each record has one writer at a time.
+// flush stores the changed records and the states that are due, and other states beside them. It does nothing while
+// transactions of an earlier flush are pending, unless they are slow. Documents of jobs that are being stored are left for a
+// later flush, so that each has one writer at a time.
 func (loop *dispatcher) flush() {
-	if len(loop.dirty) == 0 || loop.awaitsCommits() {
+	if len(loop.dirty) == 0 && !loop.publishDue() || loop.awaitsCommits() {
 		return
 	}
 	var current batch
 	for _, job := range loop.dirty {
-		if job.removing || job.writing || job.held(loop.clock()) {
-			continue
+		if loop.storable(job) {
+			loop.addTo(&current, job, loop.addRecord)
 		}
-		if job.refusal.alone {
-			alone := loop.newBatch()
-			loop.addToBatch(&alone, job)
-			loop.commit(alone)
+	}
+	for job := range loop.unpublished {
+		if !job.awaitsPublication() {
+			delete(loop.unpublished, job)
 			continue
 		}
-		if len(current.versions) == 0 {
-			current = loop.newBatch()
-		}
-		loop.addToBatch(&current, job)
-		if len(current.versions) == jobsPerCommit || current.size >= maxBatchBytes {
-			loop.commit(current)
-			current = batch{}
+		if loop.storable(job) {
+			loop.addTo(&current, job, loop.addStatus)
 		}
 	}
 	if len(current.versions) > 0 {
@@ -91,6 +108,30 @@
 	}
 }
 
+// storable reports whether a transaction may take documents of a job now.
+func (loop *dispatcher) storable(job *job) bool {
+	return !job.removing && !job.writing && !job.held(loop.clock())
+}
+
+// addTo adds documents of a job to the current batch. It commits a batch that is full, and a job alone whose record the
+// store may refuse.
+func (loop *dispatcher) addTo(current *batch, job *job, add func(*batch, *job)) {
+	if job.refusal.alone {
+		alone := loop.newBatch()
+		add(&alone, job)
+		loop.commit(alone)
+		return
+	}
+	if current.full() {
+		loop.commit(*current)
+		*current = batch{}
+	}
+	if len(current.versions) == 0 {
+		*current = loop.newBatch()
+	}
+	add(current, job)
+}
+
 // awaitsCommits reports whether transactions are pending that a flush has to wait for.
 func (loop *dispatcher) awaitsCommits() bool {
 	now := loop.clock()
@@ -113,7 +154,9 @@
 // markDirty marks the record of a job as different from the stored one.
 func (loop *dispatcher) markDirty(job *job) { loop.dirty[job.ID] = job }
 
-func (loop *dispatcher) addToBatch(batch *batch, job *job) {
+// addRecord adds the record of a job to a batch, and its status if that changes with it. The placement of the first tasks
+// depends on the status, which a cancellation changes.
+func (loop *dispatcher) addRecord(batch *batch, job *job) {
 	job.pruneDone(loop.clock())
 	loop.writeCount++
 	job.record.WriteID = strconv.FormatInt(int64(loop.term.Token), 10) + "-" + strconv.FormatInt(loop.writeCount, 10)
@@ -125,21 +168,49 @@
 		Key: ledger.RecordKey(job.ID), Revision: job.recordRevision,
 	})
 	txn.Writes = append(txn.Writes, keyvalue.Write{Key: ledger.RecordKey(job.ID), Value: stored.record})
-	if state := job.record.State; state != job.status.State && !job.status.State.Terminal() {
-		next := job.status.Status
-		next.State = state
-		if state.Terminal() {
-			next.Ended = time.Now().UTC()
-		}
-		stored.status, stored.statusRevision = &next, job.status.Revision
-		key := ledger.StatusKey(job.ID)
-		txn.Conditions = append(txn.Conditions, keyvalue.Condition{Key: key, Revision: job.status.Revision})
-		txn.Writes = append(txn.Writes, keyvalue.Write{Key: key, Value: ledger.Encode(next)})
+	switch state := job.record.State; {
+	case job.status.State.Terminal():
+	case state != job.status.State:
+		stored.addStatus(txn)
+		delete(loop.unpublished, job)
+	case state == progress.Queued:
+		stored.requireStatus(txn)
 	}
 	batch.versions = append(batch.versions, stored)
 	batch.size += len(stored.record)
 }
 
+// addStatus adds only the status of a job to a batch.
+func (loop *dispatcher) addStatus(batch *batch, job *job) {
+	job.writing = true
+	delete(loop.unpublished, job)
+	stored := version{job: job}
+	stored.addStatus(&batch.txn)
+	batch.versions = append(batch.versions, stored)
+}
+
+// addStatus adds the status with the state in the job's record to a transaction.
+func (version *version) addStatus(txn *keyvalue.Txn) {
+	job := version.job
+	next := job.status.Status
+	next.State = job.record.State
+	if next.State.Terminal() {
+		next.Ended = time.Now().UTC()
+	}
+	version.status = &next
+	version.requireStatus(txn)
+	txn.Writes = append(txn.Writes, keyvalue.Write{Key: ledger.StatusKey(job.ID), Value: ledger.Encode(next)})
+}
+
+// requireStatus adds the condition to a transaction that the status of the job is the known one.
+func (version *version) requireStatus(txn *keyvalue.Txn) {
+	job := version.job
+	version.statusRevision = job.status.Revision
+	txn.Conditions = append(txn.Conditions, keyvalue.Condition{
+		Key: ledger.StatusKey(job.ID), Revision: job.status.Revision,
+	})
+}
+
 func (loop *dispatcher) commit(batch batch) {
 	loop.pendingCommits[batch.number] = loop.clock()
 	loop.group.Go(func() error { return loop.store(batch) })
@@ -185,8 +256,10 @@
 	delete(loop.pendingCommits, batch.number)
 	for _, stored := range batch.versions {
 		job := stored.job
-		job.recordRevision, job.writing = revision, false
-		job.refusal.alone = false
+		job.writing = false
+		if stored.record != nil {
+			job.recordRevision, job.refusal.alone = revision, false
+		}
 		if stored.status != nil {
 			// The watch may have delivered this status already, or a later one.
 			if job.status.Revision < revision {
@@ -211,7 +284,8 @@
 		loop.group.Go(func() error { return errSuperseded })
 		return
 	}
-	if revision, ok := storedEarlier(batch, conflict); ok {
+	// The transaction stores all versions or none.
+	if revision, ok := batch.versions[0].isStored(conflict); ok {
 		loop.commitStored(batch, revision)
 		return
 	}
@@ -223,7 +297,7 @@
 		if item, ok := conflict.Current(ledger.StatusKey(job.ID)); ok {
 			loop.adoptStatus(job, loop.readStatus(item))
 		}
-		statusChanged = statusChanged || refused.status != nil && job.status.Revision != refused.statusRevision
+		statusChanged = statusChanged || refused.statusRevision != 0 && job.status.Revision != refused.statusRevision
 	}
 	if !statusChanged {
 		loop.Logger.Error("stored records differ from those that this term wrote", "jobs", len(batch.versions))
@@ -231,23 +305,16 @@
 	}
 }
 
-// restoreDirty has the record of a version that was not stored stored again.
+// restoreDirty has a version that was not stored stored again.
 func (loop *dispatcher) restoreDirty(refused version) {
 	job := refused.job
 	job.writing = false
 	job.onStored = append(refused.onStored, job.onStored...)
-	if loop.jobs[job.ID] == job {
+	switch {
+	case loop.jobs[job.ID] != job:
+	case refused.record != nil:
 		loop.markDirty(job)
+	default:
+		loop.publish(job)
 	}
 }
-
-// storedEarlier reports whether an earlier attempt of the transaction took effect although its response was lost. If
-// so, it returns the revision of that attempt.
-func storedEarlier(batch batch, conflict *keyvalue.ConflictError) (keyvalue.Revision, bool) {
-	first := batch.versions[0]
-	item, ok := conflict.Current(ledger.RecordKey(first.job.ID))
-	if !ok || string(item.Value) != string(first.record) {
-		return 0, false
-	}
-	return item.Revision, true
-}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -165,8 +165,10 @@
 	commitCount    int64
 	writeCount     int64
 	// dirty are the jobs whose records differ from the stored ones.
-	dirty      map[fleet.JobID]*job
-	planNeeded bool
+	dirty map[fleet.JobID]*job
+	// unpublished has the jobs whose state running is not stored yet, with the times since which it is known.
+	unpublished map[*job]time.Duration
+	planNeeded  bool
 	// removingTombstones is set while expired tombstones are being deleted.
 	removingTombstones bool
 	// rehearsal is set in the copy of a dispatcher that plans without effects for an explanation.
@@ -182,7 +184,7 @@
 	return &dispatcher{
 		Controller: controller, ctx: ctx, term: held, group: group, started: controller.Clock(),
 		events: make(chan func(*dispatcher), eventQueueSize), jobs: map[fleet.JobID]*job{},
-		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{},
+		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{}, unpublished: map[*job]time.Duration{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
 		claims: map[workload.TaskID]*claim{}, withheldSince: map[workload.TaskID]time.Duration{}, contested: map[fleet.WorkerID]WorkerEntry{},
@@ -310,17 +312,6 @@
 	}
 }
 
-// countJobsNotBegun updates the gauge of the jobs that have placed runs although no task of them is known to have begun.
-func (loop *dispatcher) countJobsNotBegun() {
-	count := int64(0)
-	for _, job := range loop.openJobs {
-		if len(job.runs) > 0 && !job.record.Begun {
-			count++
-		}
-	}
-	gometrics.GetOrRegisterGauge("placed_jobs_not_begun", loop.Metrics).Update(count)
-}
-
 // leasesExpired reports whether a worker is unresponsive, or has no link because its entry has not been read in this
 // term, and every lease on the worker has certainly expired. No run can be left there then.
 func (loop *dispatcher) leasesExpired(worker *worker) bool {
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -55,6 +55,7 @@
 	delete(loop.jobs, id)
 	delete(loop.openJobs, id)
 	delete(loop.dirty, id)
+	delete(loop.unpublished, job)
 	if job == nil || job.open() {
 		return
 	}
@@ -105,6 +106,7 @@
 	}
 	loop.jobs[accepted.ID], loop.openJobs[accepted.ID] = added, added
 	added.record, added.recordRevision = &record, item.Revision
+	added.record.Restore(added.status.State)
 	loop.restoreRuns(added)
 	if !added.open() {
 		loop.stopJob(added)
--- a/internal/control/lasting_test.go
+++ b/internal/control/lasting_test.go
@@ -66,6 +66,7 @@
 	for placed := range job.runs {
 		crashed := test.workers[job.record.Task(placed.task).At.Worker]
 		placed.startSent, placed.confirmedAt = true, test.clock()
+		test.noteBegun(job, placed.task, "test")
 		crashed.lastHeard = test.clock()
 		crashed.markFailing(test.clock(), true)
 		test.attributeCrash(crashed, workerRestarted)
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -100,6 +100,7 @@
 		if run.firstListed == 0 {
 			run.firstListed = loop.clock()
 		}
+		loop.noteBegun(run.job, run.task, "end listed")
 		loop.updateHealth(worker, run, end.How)
 		// This comes before endRun, which updates the number that the link acknowledges.
 		loop.deferAcknowledgement(worker, run.job, end.Number)
@@ -126,6 +127,9 @@
 func (loop *dispatcher) processUnknownEnd(worker *worker, end RunEnd, lastExpiry int64) {
 	outcome := "ignored"
 	job := loop.jobs[end.Task.Job]
+	if job != nil {
+		loop.noteBegun(job, end.Task, "end listed")
+	}
 	counts := end.How == progress.RunDone || end.How == progress.RunFailed
 	switch {
 	case job == nil || !counts:
@@ -182,7 +186,7 @@
 		known.job.record.SetCheckpoint(known.job.Job, known.task, known.number, status.Checkpoint)
 		if known.firstListed == 0 {
 			known.firstListed = loop.clock()
-			loop.noteBegun(known, "listed")
+			loop.noteBegun(known.job, known.task, "listed")
 		}
 		known.working, known.listedAt = status.Percent >= fullPercent, loop.clock()
 		loop.clearSuspicion(known, sent)
@@ -205,21 +209,6 @@
 	}
 }
 
-// noteBegun records that a worker is known to have begun a task of the job of a run, by the given evidence.
-func (loop *dispatcher) noteBegun(run *run, evidence string) {
-	if run.job.record.Begun {
-		return
-	}
-	run.job.record.Begun = true
-	loop.logBegun(run, evidence)
-}
-
-func (loop *dispatcher) logBegun(run *run, evidence string) {
-	loop.Logger.Info("job begun", "job", string(run.job.ID), "task", run.task.String(), "run", int(run.number),
-		"evidence", evidence, "presence", run.presence().String(),
-		"age_ms", time.Since(run.job.Accepted).Milliseconds())
-}
-
 // mustBeListed reports whether a listing that was requested at the given local time, and made at the given time of the
 // worker's clock, proves that the run does not exist if it lacks the run. It does so after the worker has confirmed the
 // start or the stop of the run. It also does so after the deadline of the start, because the worker refuses a start
@@ -236,13 +225,9 @@
 	if outcome == progress.RunDone {
 		loop.learnFromEnd(run, worker)
 	}
-	begun := job.record.Begun
-	if !run.recordEnd(outcome, checkpoint) {
+	if !job.record.End(job.Job, run.task, run.number, outcome, checkpoint, job.policy.MaxAttempts) {
 		return
 	}
-	if job.record.Begun && !begun {
-		loop.logBegun(run, cause)
-	}
 	loop.recordEnd(run, worker, outcome, cause)
 	switch {
 	case job.record.State == progress.Failed:
@@ -252,22 +237,12 @@
 	}
 }
 
-// recordEnd records the end of the run in the record of its job, and reports whether that changed. A run that was lost
-// leaves its job waiting if no worker is known to have begun a task of it.
-func (run *run) recordEnd(outcome progress.RunOutcome, checkpoint string) bool {
-	job := run.job
-	lost := outcome == progress.RunLost || outcome == progress.RunLeaseExpired
-	if lost && !run.presence().evidence() {
-		return job.record.EndUnstarted(run.task, run.number)
-	}
-	return job.record.End(job.Job, run.task, run.number, outcome, checkpoint, job.policy.MaxAttempts)
-}
-
 // endUnstarted records the end of a run that has certainly not begun on its worker and frees its capacity. It stops the
 // other members of its gang.
 func (loop *dispatcher) endUnstarted(run *run, cause string) {
+	job := run.job
 	worker := loop.freeCapacity(run)
-	if !run.job.record.EndUnstarted(run.task, run.number) {
+	if !job.record.End(job.Job, run.task, run.number, progress.RunLost, "", job.policy.MaxAttempts) {
 		return
 	}
 	loop.recordEnd(run, worker, progress.RunLost, cause)
@@ -372,6 +347,9 @@
 // refusal proves that it does not exist only if no earlier attempt was left without a response: that attempt may have
 // been carried out.
 func (loop *dispatcher) handleStartOutcome(placed *run, outcome startOutcome) {
+	if outcome.attempts > 0 && outcome.err == nil {
+		loop.noteBegun(placed.job, placed.task, "start answered")
+	}
 	worker := loop.workers[placed.link.entry.ID]
 	if worker == nil || worker.runs[placed.task] != placed {
 		return
@@ -382,7 +360,6 @@
 		return
 	}
 	if err == nil {
-		loop.noteBegun(placed, "start answered")
 		placed.listedAfter = loop.clock()
 		placed.unit.confirm(loop.clock())
 		placed.confirmStart(outcome, worker.link.token, loop.clock())
--- a/internal/control/unexpected.go
+++ b/internal/control/unexpected.go
@@ -29,6 +29,9 @@
 			"worker", string(worker.entry.ID))
 		known = &run{task: status.Task, number: status.Run, link: worker.link, stopping: true}
 		worker.unexpected[id] = known
+		if job := loop.jobs[status.Task.Job]; job != nil {
+			loop.noteBegun(job, status.Task, "listed")
+		}
 		loop.unexpectedRuns[status.Task]++
 	}
 	loop.ensureStop(known, requested)
--- a/pkg/progress/end.go
+++ b/pkg/progress/end.go
@@ -12,7 +12,6 @@
 	if task == nil || task.Phase != Placed || task.Run != run {
 		return false
 	}
-	record.Begun = true
 	step := job.Steps[id.Step]
 	if checkpoint != "" {
 		record.storeCheckpoint(step, id, checkpoint)
@@ -30,20 +29,6 @@
 	return true
 }
 
-// EndUnstarted records the end of a run that has certainly not begun on its worker, and reports whether the record
-// changed. A job of which no task has begun waits again.
-func (record *Record) EndUnstarted(id workload.TaskID, run RunNumber) bool {
-	task := record.Task(id)
-	if task == nil || task.Phase != Placed || task.Run != run {
-		return false
-	}
-	task.Phase, task.At = Waiting, Location{}
-	if record.State == Running && !record.Begun && !record.AnyPlaced() {
-		record.State = Queued
-	}
-	return true
-}
-
 // EndAbandoned records the end of a run whose task was already set back to waiting, for example because the run's
 // worker was unreachable. It reports whether the record changed. The end counts only if the task has not been placed
 // again. Only RunDone and RunFailed are recorded: a task that was done after all does not have to run again.
--- a/pkg/progress/place.go
+++ b/pkg/progress/place.go
@@ -70,7 +70,7 @@
 }
 
 // Place records that the tasks of a unit are about to start on the given workers, one for each task, and returns the
-// run number that the tasks share.
+// run number that the tasks share. The job goes on waiting: whether the workers start the tasks is not known yet.
 func (record *Record) Place(job workload.Job, unit Unit, locations []Location) RunNumber {
 	tasks := record.begin(job, unit.Occurrence).Steps[unit.Step].touch()
 	run := RunNumber(0)
@@ -83,8 +83,5 @@
 		tasks[index].Run = run
 		tasks[index].At = locations[i]
 	}
-	if record.State == Queued {
-		record.State = Running
-	}
 	return run
 }
--- a/pkg/progress/record.go
+++ b/pkg/progress/record.go
@@ -13,7 +13,7 @@
 	// and comparing WriteID shows whether the write took effect.
 	WriteID string `json:"write"`
 	State   State  `json:"state"`
-	// Begun is set once a task of the job may have begun on a worker.
+	// Begun is set once a task of the job is known to have begun on a worker. State is Queued until then.
 	Begun bool `json:"begun,omitempty"`
 	// Occurrences are those that have begun, by ascending number. A job without a schedule has one, whether it has begun
 	// or not. Occurrences of a schedule that are not due have no entry, and those that are done may be pruned.
@@ -31,6 +31,30 @@
 	return record
 }
 
+// Begin records that a task of the job is known to have begun on a worker, and reports whether that was new.
+func (record *Record) Begin() bool {
+	if record.Begun {
+		return false
+	}
+	record.Begun = true
+	if record.State == Queued {
+		record.State = Running
+	}
+	return true
+}
+
+// Restore makes a stored record agree with the stored state of its job. The state Running may have been stored without the
+// record, which then follows it. Earlier versions stored Running with the first placement: then the record has that state
+// as well, but is not marked as begun, and the job is taken for a waiting one.
+func (record *Record) Restore(stored State) {
+	switch {
+	case record.State == Running && !record.Begun:
+		record.State = Queued
+	case record.State == Queued && stored == Running:
+		record.Begin()
+	}
+}
+
 // Matches reports whether the record is one of the job: it has occurrences of the job's schedule with the same numbers of
 // steps and tasks, a known state, and tasks that this package can have written.
 func (record *Record) Matches(job workload.Job) bool {
