Refuse counts of pending jobs from a copy of the statuses that is too old

A process answered the count of pending jobs from its copy of the job statuses as soon as it had read it once, however long no change had arrived. A process whose watch fell silent left out all jobs that others had accepted since.

The copy knows now when it was last complete. A query for the count, or for the state of a job that has not ended, has an older one than 1.9 s brought up to date by one call that all such queries share; a count may be 2 s old. A count that is still older is refused with 503. Queries are in a file of their own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -36,6 +36,9 @@
 	// maxConfirmationAge is the maximum age of the configuration at which a request may be refused because of it. An older
 	// configuration is read again first.
 	maxConfirmationAge = 400 * time.Millisecond
+	// maxStatusesAge is the age from which on the copy of the statuses is brought up to date before a query is answered. A
+	// count of pending jobs may be 2 s old when the caller receives it.
+	maxStatusesAge = 2*time.Second - responseReserve
 	// maxUnloggedAge is the age of the configuration from which on each request is logged.
 	maxUnloggedAge = 2 * time.Second
 )
@@ -60,6 +63,16 @@
 	Refreshing() bool
 }
 
+// StatusSource keeps a copy of all job statuses up to date.
+type StatusSource interface {
+	// Synced reports whether all stored statuses have been read at least once.
+	Synced() bool
+	// Age returns the time since the copy was known to be complete. It includes the time for which the VM was suspended.
+	Age() time.Duration
+	// Refresh brings the copy up to date.
+	Refresh(ctx context.Context) error
+}
+
 // Request holds the properties that all requests of callers have.
 type Request struct {
 	Host, Path string
@@ -75,10 +88,8 @@
 	Configuration ConfigurationSource
 	Statuses      *ledger.StatusCache
 	Tombstones    *ledger.TombstoneCache
-	// StatusesSynced reports whether all stored statuses have been read into Statuses at least once.
-	StatusesSynced func() bool
-	// StatusesAge is the time since Statuses was known to be complete. It includes the time for which the VM was suspended.
-	StatusesAge func() time.Duration
+	// StatusSource keeps Statuses up to date.
+	StatusSource StatusSource
 	// StoreLost reports whether this process cannot reach the store. While it cannot, submissions and cancellations are
 	// refused at once, because the caller gets a response sooner from another process.
 	StoreLost func() bool
@@ -288,92 +299,6 @@
 	return true
 }
 
-// Answer is the response to a query: the state of a job or, if the path of the query names no job, the number of jobs
-// of a profile that wait.
-type Answer struct {
-	State progress.State
-	// Pending is the number of accepted jobs of the profile that have not started; jobs with a schedule are not counted.
-	Pending int
-	// IsCount means that Pending is set, and not State.
-	IsCount bool
-}
-
-// Query answers a query about a job or about the waiting jobs of a profile. The path is interpreted with the same
-// configuration with which the request is admitted.
-func (gateway *Gateway) Query(ctx context.Context, request Request) (Answer, error) {
-	started := time.Now()
-	ctx, cancel := request.withDeadline(ctx)
-	defer cancel()
-	admitted, err := gateway.admitQuery(ctx, request)
-	if err != nil {
-		return Answer{}, gateway.recordOutcome(callState, request, admitted, started, err)
-	}
-	if admitted.job == "" {
-		admitted.statusesAge = gateway.StatusesAge()
-		answer, err := gateway.pending(admitted)
-		admitted.pending = answer.Pending
-		metrics.Observe(gateway.Metrics, "pending_statuses_age_milliseconds", admitted.statusesAge)
-		return answer, gateway.recordOutcome(callPending, request, admitted, started, err)
-	}
-	entry, err := gateway.status(ctx, admitted)
-	return Answer{State: entry.State}, gateway.recordOutcome(callState, request, admitted, started, err)
-}
-
-func (gateway *Gateway) pending(admitted admission) (Answer, error) {
-	if !gateway.StatusesSynced() {
-		return Answer{}, fault.New(fault.Starting, "the job statuses have not been read yet").
-			WithRetryAfter(storeRetryAfter)
-	}
-	return Answer{Pending: gateway.Statuses.Pending(admitted.profile.Name), IsCount: true}, nil
-}
-
-// status returns the status of the job of an organisation and profile.
-func (gateway *Gateway) status(ctx context.Context, admitted admission) (ledger.StatusEntry, error) {
-	entry, err := gateway.storedStatus(ctx, admitted.job)
-	if err == nil && !admitted.owns(entry) {
-		return ledger.StatusEntry{}, errNoSuchJob
-	}
-	return entry, err
-}
-
-// owns reports whether an entry is the status of a job of the organisation and profile.
-func (admitted admission) owns(entry ledger.StatusEntry) bool {
-	return entry.Revision != 0 && entry.Profile == admitted.profile.Name && entry.Organisation == admitted.organisation
-}
-
-// storedStatus returns the status under a job id from the cache, or from the store if the cache does not hold it. It
-// returns errNoSuchJob if there is none.
-func (gateway *Gateway) storedStatus(ctx context.Context, id fleet.JobID) (ledger.StatusEntry, error) {
-	if entry, ok := gateway.Statuses.Get(id); ok {
-		return entry, nil
-	}
-	return gateway.readStatus(ctx, id)
-}
-
-func (gateway *Gateway) readStatus(ctx context.Context, id fleet.JobID) (ledger.StatusEntry, error) {
-	var entry ledger.StatusEntry
-	if !validID(id) {
-		return entry, errNoSuchJob
-	}
-	err := gateway.retry(ctx, func(ctx context.Context) error {
-		item, err := gateway.Store.Get(ctx, ledger.StatusKey(id))
-		if errors.Is(err, keyvalue.ErrNotFound) {
-			return errNoSuchJob
-		}
-		if err != nil {
-			return err
-		}
-		status, err := ledger.Decode[ledger.Status](item)
-		if err != nil {
-			return fault.New(fault.Internal, "%v", err)
-		}
-		entry = ledger.StatusEntry{Status: status, Revision: item.Revision}
-		gateway.Statuses.Update(id, entry)
-		return nil
-	})
-	return entry, err
-}
-
 // retry repeats an idempotent call until the call succeeds, the call returns a fault, or ctx ends.
 func (gateway *Gateway) retry(ctx context.Context, call func(context.Context) error) error {
 	for {
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -35,6 +35,8 @@
 	lastContact atomic.Int64
 	synced      atomic.Bool
 	storeLost   bool
+	// after is the revision up to which all changes were passed to Apply; 0 before the first listing.
+	after atomic.Int64
 }
 
 // LastContact returns the time of the store's last response, or the zero time if it has not responded yet.
@@ -48,6 +50,21 @@
 // Synced reports whether the mirror has listed its prefix at least once.
 func (mirror *Mirror) Synced() bool { return mirror.synced.Load() }
 
+// errNotListed means that the mirror has not listed its prefix yet.
+var errNotListed = errors.New("the prefix has not been listed yet")
+
+// Changes asks the store for the changes since those that were passed to Apply, which are not passed to Apply by this call.
+// At the returned reading of Clock there were no others.
+func (mirror *Mirror) Changes(ctx context.Context) ([]Change, time.Duration, error) {
+	after := Revision(mirror.after.Load())
+	if after == 0 {
+		return nil, 0, errNotListed
+	}
+	sentAt := mirror.now()
+	changes, _, err := mirror.Store.Watch(ctx, mirror.Prefix, after, 0)
+	return changes, sentAt, err
+}
+
 // Run lists and watches the prefix until ctx ends.
 func (mirror *Mirror) Run(ctx context.Context) error {
 	for {
@@ -75,6 +92,7 @@
 				changes[i] = Change{Item: item}
 			}
 			mirror.Apply(changes, true)
+			mirror.after.Store(int64(after))
 			mirror.confirm(sentAt)
 			mirror.recordContact()
 			mirror.synced.Store(true)
@@ -103,6 +121,7 @@
 				mirror.Apply(changes, false)
 				wait = 0
 			}
+			mirror.after.Store(int64(max(next, after)))
 			// Without changes, the store held the call for the whole wait.
 			mirror.confirm(min(sentAt+wait, mirror.now()))
 			return max(next, after), nil
