Fail no job for crashes under runs that were only decided

A job was shown as failed because workers crashed under runs of which nothing was known but a former controller's decision to start them: five such crashes were enough, and two beside a single crash under a run. A task that no worker has begun may be among them, since each change of the controller restores what its predecessor had placed.

A job fails now only if three of the counted crashes are under runs that a worker is known to have begun. So that a crashing task is still given up while controllers change, the record of a task under which a worker has crashed tells the run that was last seen; other records are written as often as before.

TestJobDoesNotFailForDecisions failed before in five of six cases, with the job failed after crash 3 or 5; all pass. TestRunSeenByFormerController needs the new field.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -102,7 +102,7 @@
 	}
 	crash := progress.Crash{
 		Late: !run.mayHaveCrashed(crashed), Worked: run.workedUntilCrash(crashed), StartUnknown: run.restored, Lone: cause.lone,
-		Lasting: run.step().LongRunning,
+		Lasting: run.step().LongRunning, Decided: run.presence() == presenceRecorded,
 	}
 	if crash.Late {
 		if !cause.single {
@@ -230,6 +230,16 @@
 	job.suspectedSince[id] = now
 }
 
+// noteSeen records that the present incarnation of a worker has begun the run of a task under which workers have crashed.
+func (loop *dispatcher) noteSeen(run *run) {
+	if run.onNextIncarnation || run.presence() < presenceConfirmed {
+		return
+	}
+	if run.job.record.NoteSeen(run.task, run.number) {
+		loop.markDirty(run.job)
+	}
+}
+
 // clearSuspicion forgets the crashes under a task whose run was listed as working at two times far enough apart.
 func (loop *dispatcher) clearSuspicion(run *run, requested time.Duration) {
 	if run.cleared || run.firstListed == 0 {
--- /dev/null
+++ b/internal/control/decided_test.go
@@ -0,0 +1,122 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
+	"github.com/quetzalstall/quetzalstall/internal/ledger"
+	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workload"
+)
+
+// crashUnderDecided lets the workers of all runs of a job restart while nothing is known of the runs but that a former
+// controller had decided to start them.
+func (test *testLoop) crashUnderDecided(job *job) {
+	for placed := range job.runs {
+		crashed := test.workers[job.record.Task(placed.task).At.Worker]
+		placed.startSent, placed.restored = true, true
+		crashed.markFailing(test.clock(), true)
+		test.attributeCrash(crashed, workerRestarted)
+		for _, lost := range crashed.runs {
+			test.endRun(lost, progress.RunLost, "", "test")
+		}
+	}
+}
+
+// TestJobDoesNotFailForDecisions guards against a job that is shown as failed because its workers were lost together with
+// the controller, although no worker, or only one or two, had started its task; and against a task that crashes its workers
+// and is not given up because the controller changed meanwhile.
+func TestJobDoesNotFailForDecisions(t *testing.T) {
+	const known, decided = true, false
+	tests := []struct {
+		name string
+		// crashes are those of the workers of the task, in succession.
+		crashes []bool
+		failed  bool
+	}{
+		{"decisions only", []bool{decided, decided, decided, decided, decided, decided, decided, decided}, false},
+		{"decisions and one run", []bool{decided, decided, known, decided, decided, decided}, false},
+		{"one run and decisions", []bool{known, decided, decided, decided, decided, decided}, false},
+		{"two runs and decisions", []bool{known, known, decided, decided, decided}, false},
+		{"three runs", []bool{known, known, known}, true},
+		{"three runs and a decision", []bool{known, decided, known, known}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newTestLoop(t, 16)
+			loop.now = time.Minute
+			job := loop.submit(1, workload.Step{Tasks: 1, Each: workload.Resources{Accelerators: 1}})
+			for n, crash := range test.crashes {
+				for waited := time.Duration(0); len(job.runs) == 0 && waited < 9*time.Second; waited += tickInterval {
+					loop.plan()
+					loop.now += tickInterval
+				}
+				if len(job.runs) != 1 {
+					t.Fatalf("the task does not run 9 s after crash %d", n)
+				}
+				if crash == known {
+					loop.crashUnder(job)
+				} else {
+					loop.crashUnderDecided(job)
+				}
+				if failed := job.record.State == progress.Failed; failed && n+1 < len(test.crashes) {
+					t.Fatalf("the job is shown as failed after crash %d", n+1)
+				}
+				loop.now += backgroundWindow
+			}
+			if failed := job.record.State == progress.Failed; failed != test.failed {
+				t.Errorf("failed is %t, want %t", failed, test.failed)
+			}
+		})
+	}
+}
+
+// TestRunSeenByFormerController guards against a run that a worker is known to have begun, and that the next controller takes
+// for a mere decision, so that its task crashes more workers than it may; and against a record that is stored once more for
+// each start of a task under which no worker has crashed.
+func TestRunSeenByFormerController(t *testing.T) {
+	tests := []struct {
+		name string
+		// crashed is set if a worker has crashed under the task before, and answered if the start of the run was answered.
+		crashed, answered bool
+		want              presence
+	}{
+		{"first run", false, true, presenceRecorded},
+		{"answered start after a crash", true, true, presenceConfirmed},
+		{"unanswered start after a crash", true, false, presenceRecorded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			former := newTestLoop(t, 4)
+			former.now = time.Minute
+			placed := former.submit(1, workload.Step{Tasks: 1, Each: workload.Resources{Accelerators: 1}})
+			former.plan()
+			if test.crashed {
+				former.crashUnder(placed)
+				former.plan()
+			}
+			for decided := range placed.runs {
+				decided.startSent = true
+				if test.answered {
+					decided.confirmedAt = former.clock()
+				}
+				former.noteSeen(decided)
+			}
+			next := newTestLoop(t, 4)
+			next.pendingRecords[placed.ID] = keyvalue.Item{
+				Key: ledger.RecordKey(placed.ID), Value: ledger.Encode(placed.record), Revision: 2,
+			}
+			next.addJob(placed.Job, 1)
+			runs := next.jobs[placed.ID].runs
+			if len(runs) != 1 {
+				t.Fatalf("%d runs are restored, want 1", len(runs))
+			}
+			for restored := range runs {
+				if presence := restored.presence(); presence != test.want {
+					t.Errorf("the presence of the run is %s, want %s", presence, test.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -120,7 +120,7 @@
 		restored := &run{
 			task: id, number: task.Run, job: job, need: job.Steps[id.Step].Need(), startedAt: loop.clock(),
 			startSent: true, restored: true, listedAfter: loop.started - 1,
-			isolated: job.record.Suspected(job.Job, id),
+			isolated: job.record.Suspected(job.Job, id), seenEarlier: task.Crashes.Seen == task.Run,
 		}
 		loop.addRestored(restored, task.At)
 	}
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -15,7 +15,8 @@
 	// presenceRecorded means that a former controller had stored the decision to start the run. What became of the start
 	// is not known in this term.
 	presenceRecorded
-	// presenceConfirmed means that the worker has responded to the start.
+	// presenceConfirmed means that the worker has responded to the start, or that the record says so of a run of a former
+	// controller.
 	presenceConfirmed
 	// presenceListed means that a listing of the worker has contained the run.
 	presenceListed
@@ -32,10 +33,10 @@
 		return presenceNone
 	case run.firstListed != 0:
 		return presenceListed
+	case run.confirmedAt != 0 || run.seenEarlier:
+		return presenceConfirmed
 	case run.restored:
 		return presenceRecorded
-	case run.confirmedAt != 0:
-		return presenceConfirmed
 	}
 	return presencePossible
 }
@@ -57,10 +58,10 @@
 	if !run.onNextIncarnation {
 		run.confirmedAt = 0
 	}
-	run.onNextIncarnation, run.firstListed, run.survived, run.cleared = false, 0, false, false
+	run.onNextIncarnation, run.firstListed, run.survived, run.cleared, run.seenEarlier = false, 0, false, false, false
 }
 
 // evidence reports whether a run with this presence counts as one that was on its worker: its job has begun, and a crash
 // of the worker may count against its task. A recorded run counts, because a task that crashes its workers would otherwise
-// be started without end while controllers change.
+// be started without end while controllers change, but no job fails for such runs alone; see progress.Crash.
 func (presence presence) evidence() bool { return presence >= presenceRecorded }
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -187,6 +187,7 @@
 		if known.firstListed == 0 {
 			known.firstListed = loop.clock()
 			loop.noteBegun(known.job, known.task, "listed")
+			loop.noteSeen(known)
 		}
 		known.working, known.listedAt = status.Percent >= fullPercent, loop.clock()
 		loop.clearSuspicion(known, sent)
@@ -363,6 +364,7 @@
 		placed.listedAfter = loop.clock()
 		placed.unit.confirm(loop.clock())
 		placed.confirmStart(outcome, worker.link.token, loop.clock())
+		loop.noteSeen(placed)
 		worker.link.notify()
 		return
 	}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -130,6 +130,8 @@
 	judgedDraining bool
 	// restored is set if a former controller placed the run. startedAt is then the time at which this term read it.
 	restored bool
+	// seenEarlier is set for a restored run if the record says that a worker had begun it.
+	seenEarlier bool
 	// unit is shared by the runs of the unit; nil if a former controller placed the run.
 	unit   *unitRuns
 	speeds taskspeed.Tracker
--- a/pkg/progress/crash.go
+++ b/pkg/progress/crash.go
@@ -16,6 +16,9 @@
 	// maxCrashesWithShared is the number of all crashes, shared ones included, if one of them can have no other cause. It
 	// leaves room for one that was not counted, because workers crashed elsewhere at the same time.
 	maxCrashesWithShared = 4
+	// minKnownCrashes is how many of the counted crashes must be under runs that are known to have been on their workers.
+	// The others are under runs that a former controller had decided to start: none of those may ever have existed.
+	minKnownCrashes = 3
 	// maxSharedCrashes is the number of shared crashes in succession from which on the task is suspected. Long runs often
 	// share a crash that another task or the worker itself has caused.
 	maxSharedCrashes = 3
@@ -36,6 +39,8 @@
 	// run.
 	Worked       WorkTime
 	StartUnknown bool
+	// Decided is set if nothing is known of the run but that a former controller had decided to start it.
+	Decided bool
 }
 
 // WorkTime is a time of work between two bounds. The time of a crash is known only as well as the worker was polled.
@@ -71,6 +76,11 @@
 	WorkedKnown bool `json:"worked_known,omitempty"`
 	// Succession counts all crashes in succession, at whatever point.
 	Succession int `json:"succession,omitempty"`
+	// Known counts those in Count and Shared whose runs are known to have been on their workers.
+	Known int `json:"known,omitempty"`
+	// Seen is the number of the latest run that a worker is known to have begun after a crash was counted, so that the next
+	// controller need not take that run for a mere decision.
+	Seen RunNumber `json:"seen,omitempty"`
 }
 
 // Suspected reports whether the task may crash the next worker too.
@@ -91,6 +101,9 @@
 	if !crash.StartUnknown {
 		crashes.narrow(crash.Worked)
 	}
+	if !crash.Decided {
+		crashes.Known++
+	}
 	if crash.Late && !crash.Lone {
 		crashes.Shared++
 		return
@@ -114,8 +127,12 @@
 	crashes.Worked, crashes.WorkedKnown = common, true
 }
 
-// Exhausted reports whether the task has crashed as many workers as it may. Shared crashes alone prove nothing.
+// Exhausted reports whether the task has crashed as many workers as it may. Shared crashes alone prove nothing, and neither
+// do crashes of workers on which the task is not known to have been.
 func (crashes Crashes) Exhausted() bool {
+	if crashes.Known < minKnownCrashes {
+		return false
+	}
 	if crashes.Lone > 0 && crashes.Count+crashes.Shared >= maxCrashesWithShared {
 		return true
 	}
@@ -159,6 +176,17 @@
 	return true
 }
 
+// NoteSeen records that a worker is known to have begun a run of a task under which workers have crashed, and reports
+// whether the record changed. Of other tasks it is not recorded, since each start would then be stored twice.
+func (record *Record) NoteSeen(id workload.TaskID, run RunNumber) bool {
+	task := record.Task(id)
+	if task == nil || task.Phase != Placed || task.Run != run || task.Crashes.Succession == 0 || task.Crashes.Seen == run {
+		return false
+	}
+	task.Crashes.Seen = run
+	return true
+}
+
 // ClearCrashes forgets the crashes under a task, because a run of it has gone on working on a worker. It reports whether
 // the record changed.
 func (record *Record) ClearCrashes(id workload.TaskID) bool {
