Count the wait of a task that lasts from the end of a run that began

The end of a run that was only placed, and never started, was recorded as the last end of its task, so that a task that lasts waited 3 s more for its restart with each start that was not sent, found no connection or was refused.

Such an end no longer replaces that of a run that is known to have been on its worker. TestDecisionDoesNotProlongWait failed before (placed 6 s after the end, want 3 s) and passes; the tests of tasks that last are unchanged.

--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -120,3 +120,40 @@
 		})
 	}
 }
+
+// TestDecisionDoesNotProlongWait guards against a task that lasts and waits for longer after its end, because a run of it was
+// placed meanwhile that never started.
+func TestDecisionDoesNotProlongWait(t *testing.T) {
+	loop := newTestLoop(t, 8)
+	loop.now = time.Minute
+	// The gang cannot preempt this work.
+	loop.submit(0, workload.Step{Tasks: 5, Estimate: time.Minute, Each: workload.Resources{Accelerators: 8}})
+	lasting := loop.submit(1, workload.Step{
+		Tasks: 1, Estimate: 3 * time.Second, LongRunning: true, Each: workload.Resources{Accelerators: 1},
+	})
+	lasting.Accepted = lasting.Accepted.Add(-time.Hour)
+	loop.plan()
+	for began := range lasting.runs {
+		began.startSent, began.confirmedAt = true, loop.now
+		loop.endRun(began, progress.RunFailed, "", "test")
+	}
+	ended := loop.now
+	loop.now += restartWithin - tickInterval
+	loop.plan()
+	if len(lasting.runs) != 1 {
+		t.Fatal("the task is not placed again")
+	}
+	for decided := range lasting.runs {
+		loop.endUnstarted(decided, "test")
+	}
+	loop.submit(0, workload.Step{
+		Tasks: 4, Gang: true, Estimate: 11 * time.Second, Each: workload.Resources{Accelerators: 8},
+	})
+	for len(lasting.runs) == 0 && loop.now-ended < 9*time.Second {
+		loop.plan()
+		loop.now += tickInterval
+	}
+	if waited := loop.now - ended; waited > restartWithin+2*tickInterval {
+		t.Errorf("the task is placed %s after its end, want at most %s later than that", waited, restartWithin)
+	}
+}
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -263,7 +263,7 @@
 // recordEnd has the end of a run stored and logs it.
 func (loop *dispatcher) recordEnd(run *run, worker *worker, outcome progress.RunOutcome, cause string) {
 	loop.markDirty(run.job)
-	run.job.noteEnd(run.task, loop.clock())
+	run.job.noteEnd(run, loop.clock())
 	loop.planNeeded = true
 	fields := []any{"task", run.task.String(), "run", int(run.number), "how", string(outcome), "cause", cause,
 		"ran_ms", (loop.clock() - run.startedAt).Milliseconds(), "state", string(run.job.record.State),
