Count the work of former runs that their first listing shows

A run that a former controller started counted as begun at the time when the new one read it. Preemption took it for one that has nothing to lose, and the evacuation of a data centre and the wait for ends for one with all of its work left.

The share of the work that the first listing shows as done now counts at the declared run time. TestWorkBeforeTheTerm failed before: 8 s of accelerator time instead of 188 s, and 96 s left instead of 6 s for a run that is 90% done 4 s into the term.

--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -157,3 +157,37 @@
 		t.Errorf("the task is placed %s after its end, want at most %s later than that", waited, restartWithin)
 	}
 }
+
+// TestWorkBeforeTheTerm guards against work that is thrown away after a change of the controller, because the runs of the
+// former one count as just begun: they are preempted as if they had nothing to lose, and moved as if all was left to do.
+func TestWorkBeforeTheTerm(t *testing.T) {
+	tests := []struct {
+		name            string
+		restored        bool
+		percent         int
+		loss, remaining time.Duration
+	}{
+		{"own run, by its start", false, 90, 8 * time.Second, 96 * time.Second},
+		{"run of a former controller, almost done", true, 90, 2 * 94 * time.Second, 6 * time.Second},
+		{"run of a former controller, just begun", true, 0, 8 * time.Second, 96 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newTestLoop(t, 1)
+			step := workload.Step{Tasks: 1, Estimate: 100 * time.Second, Each: workload.Resources{Accelerators: 2}}
+			job := loop.submit(1, step)
+			listed := &run{
+				task: workload.TaskID{Job: job.ID}, job: job, need: step.Need(), startedAt: loop.now, startSent: true,
+				restored: test.restored, share: fullShare,
+			}
+			listed.assess(WorkerClock(time.Hour), test.percent)
+			now := loop.now + 4*time.Second
+			if loss := listed.loss(now); loss != test.loss {
+				t.Errorf("%s of accelerator time are lost if it stops, want %s", loss, test.loss)
+			}
+			if remaining := listed.remainingTime(now); remaining != test.remaining {
+				t.Errorf("%s remain, want %s", remaining, test.remaining)
+			}
+		})
+	}
+}
--- a/internal/control/preempt.go
+++ b/internal/control/preempt.go
@@ -170,7 +170,7 @@
 // loss is the accelerator time that is lost if the run stops. For a member of a gang it is the loss of the whole gang.
 func (run *run) loss(now time.Duration) time.Duration {
 	step := run.step()
-	lost := now - run.startedAt
+	lost := run.workedFor(now)
 	if step.Checkpoints {
 		lost = min(lost, restoreTime)
 	}
--- a/internal/control/speed.go
+++ b/internal/control/speed.go
@@ -153,11 +153,21 @@
 func (run *run) remainingTime(now time.Duration) time.Duration {
 	mean, known := run.speeds.Mean(speedWindow)
 	if !known {
-		return run.unit.expected(run.step().Estimate) - (now - run.startedAt)
+		return run.unit.expected(run.step().Estimate) - run.workedFor(now)
 	}
 	return mean.Duration(1 - run.speeds.Last().Done)
 }
 
+// workedFor returns how long the run has worked: since its start was sent or, for a run of a former controller, since it was
+// read and for the work that its first listing showed as done.
+func (run *run) workedFor(now time.Duration) time.Duration {
+	worked := now - run.startedAt
+	if run.restored {
+		worked += time.Duration(run.speeds.First().Done * float64(run.step().Estimate))
+	}
+	return worked
+}
+
 // crossRack reports whether some of the workers chosen for a unit are outside the rack of the step's data, or are in
 // several racks although the step is a gang that needs one rack.
 func (loop *dispatcher) crossRack(step workload.Step, places []fleet.WorkerID) bool {
