--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -191,3 +191,26 @@
 		})
 	}
 }
+
+// TestEndAfterRestartOfWorker guards against a task that lasts and starts again without a pause after it has crashed its
+// worker, because the run counts as one that was only decided once its worker has restarted.
+func TestEndAfterRestartOfWorker(t *testing.T) {
+	loop := newTestLoop(t, 1)
+	loop.now = time.Minute
+	lasting := loop.submit(1, workload.Step{Tasks: 1, LongRunning: true, Each: workload.Resources{Accelerators: 1}})
+	for range 2 {
+		loop.now += time.Minute
+		loop.plan()
+		if len(lasting.runs) != 1 {
+			t.Fatal("the task is not placed")
+		}
+		for began := range lasting.runs {
+			began.startSent, began.confirmedAt = true, loop.now
+			began.followRestart()
+			loop.endRun(began, progress.RunLost, "", "missing from the worker's listing")
+		}
+		if ended := lasting.lastEnded[workload.TaskID{Job: lasting.ID}]; ended != loop.now {
+			t.Errorf("the last run ended at %s, want %s", ended, loop.now)
+		}
+	}
+}
--- a/internal/control/lasting.go
+++ b/internal/control/lasting.go
@@ -27,14 +27,14 @@
 	return known && loop.clock()-ended < crashPause && job.record.Crashes(key).Exhausted()
 }
 
-// noteEnd records the end of a run of a task that lasts. A run that is not known to have been on its worker does not replace
-// one that was: its task has waited since the end of that one.
+// noteEnd records the end of a run of a task that lasts. A run that is not known to have begun does not replace one that
+// was: its task has waited since the end of that one.
 func (job *job) noteEnd(ended *run, now time.Duration) {
 	if !ended.step().LongRunning {
 		return
 	}
 	id := ended.task
-	if _, known := job.lastEnded[id]; known && !ended.presence().evidence() {
+	if _, known := job.lastEnded[id]; known && !ended.begun() {
 		return
 	}
 	if job.lastEnded == nil {
--- a/internal/control/presence.go
+++ b/internal/control/presence.go
@@ -55,12 +55,16 @@
 // followRestart forgets what is known of the run on the former incarnation of its worker. The run is on the present one
 // only if the start was carried out there.
 func (run *run) followRestart() {
+	run.begunBefore = run.begun()
 	if !run.onNextIncarnation {
 		run.confirmedAt = 0
 	}
 	run.onNextIncarnation, run.firstListed, run.survived, run.cleared, run.seenEarlier = false, 0, false, false, false
 }
 
+// begun reports whether a worker is known to have begun the run, on its present incarnation or a former one.
+func (run *run) begun() bool { return run.begunBefore || run.presence() >= presenceConfirmed }
+
 // evidence reports whether a run with this presence counts as one that was on its worker: its job has begun, and a crash
 // of the worker may count against its task. A recorded run counts, because a task that crashes its workers would otherwise
 // be started without end while controllers change, but no job fails for such runs alone; see progress.Crash.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -132,6 +132,8 @@
 	restored bool
 	// seenEarlier is set for a restored run if the record says that a worker had begun it.
 	seenEarlier bool
+	// begunBefore is set if a former incarnation of the worker is known to have begun the run.
+	begunBefore bool
 	// unit is shared by the runs of the unit; nil if a former controller placed the run.
 	unit   *unitRuns
 	speeds taskspeed.Tracker
