Do not report the time of runs that never began as running

The line "run ended" now tells whether a worker is known to have begun the run; if not, its time counts as waiting. Logs of earlier versions are read as before.

Two cases of TestTimeline; that of a run that never began failed before (500 ms repeating, want 0).

--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -267,7 +267,7 @@
 	loop.planNeeded = true
 	fields := []any{"task", run.task.String(), "run", int(run.number), "how", string(outcome), "cause", cause,
 		"ran_ms", (loop.clock() - run.startedAt).Milliseconds(), "state", string(run.job.record.State),
-		"presence", run.presence().String()}
+		"presence", run.presence().String(), "begun", run.begun()}
 	if worker != nil {
 		fields = append(fields, "worker", string(worker.entry.ID))
 	}
--- a/internal/joblog/joblog.go
+++ b/internal/joblog/joblog.go
@@ -47,6 +47,8 @@
 	Ran      milliseconds        `json:"ran_ms"`
 	Priority int                 `json:"priority"`
 	Step     int                 `json:"step"`
+	// Begun tells whether a worker is known to have begun a run; nil in the logs of earlier versions.
+	Begun *bool `json:"begun"`
 }
 
 // milliseconds is a duration as it is written in logs.
--- a/internal/joblog/joblog_test.go
+++ b/internal/joblog/joblog_test.go
@@ -98,6 +98,24 @@
 			[phaseCount]int{Submitted: 100, Waiting: 200, Repeating: 500, Running: 1000},
 			map[string]int{"done": 2000, "displaced": 500},
 		},
+		{
+			"a run that never began, then one that did",
+			[]string{
+				taken, logLine(100, "unit placed", `"job":"a","waited_ms":0`),
+				logLine(600, "run ended", `"task":"a.0.0.0","how":"lost","ran_ms":500,"begun":false`),
+				logLine(700, "unit placed", `"job":"a","waited_ms":100`),
+				logLine(1700, "run ended", `"task":"a.0.0.0","how":"done","ran_ms":1000,"begun":true`), end(1700),
+			},
+			[phaseCount]int{Submitted: 100, Waiting: 600, Running: 1000}, map[string]int{"done": 1000},
+		},
+		{
+			"a lost run that began",
+			[]string{
+				taken, logLine(100, "unit placed", `"job":"a","waited_ms":0`),
+				logLine(600, "run ended", `"task":"a.0.0.0","how":"lost","ran_ms":500,"begun":true`), end(700),
+			},
+			[phaseCount]int{Submitted: 100, Repeating: 500, Between: 100}, map[string]int{"lost": 500},
+		},
 		{
 			"failed runs are summed by outcome",
 			[]string{
--- a/internal/joblog/timeline.go
+++ b/internal/joblog/timeline.go
@@ -17,7 +17,8 @@
 const (
 	// Submitted lasts from the submission until a controller has read the job.
 	Submitted Phase = iota
-	// Waiting means that a task or gang waits for free capacity.
+	// Waiting means that a task or gang waits for free capacity, or for the end of a run that no worker is known to have
+	// begun.
 	Waiting
 	// Claiming means that a task or gang has claimed capacity and waits for the end of the runs that it preempts there.
 	Claiming
@@ -118,11 +119,15 @@
 	}
 }
 
-// addRun adds the time of an ended run to Runs and returns the run's span. The cause is the reason for which the
-// controller stopped the run, or empty if the controller did not stop it.
+// addRun adds the time of an ended run to Runs, unless it is not known to have begun, and returns the run's span. The cause
+// is the reason for which the controller stopped the run, or empty if the controller did not stop it.
 func (timeline *Timeline) addRun(line Line, cause string) span {
 	ran := line.fields.Ran.duration()
 	run := span{line.At.Add(-ran), line.At, Running}
+	if begun := line.fields.Begun; begun != nil && !*begun {
+		run.phase = Waiting
+		return run
+	}
 	result := string(line.fields.How)
 	if line.fields.How != progress.RunDone {
 		run.phase = Repeating
