Name no workers of a job that waits

The status of a job named the workers in its record. The record of an idempotent job is not written when an attempt ends, so that callers saw a queued job with the workers of its last attempt, on which nothing of it was left; and a job that ended without a run with the workers that had refused it.

Workers are named of attempts that may be starting or running, and of ended jobs that ran. TestStatusNamesNoWorkersOfWaitingJob failed before (three workers of a queued job) and passes.

--- a/internal/domain/caller_requests.go
+++ b/internal/domain/caller_requests.go
@@ -170,6 +170,10 @@
 		return response, nil
 	}
 	response.State = lines[0]
+	if response.State == phaseQueued.String() {
+		// The record of an idempotent job keeps the members of an attempt that has ended.
+		response.Workers = nil
+	}
 	if len(lines) > 1 {
 		response.Reason = lines[1]
 	}
--- a/internal/domain/record.go
+++ b/internal/domain/record.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// status returns the response to a status request, made from the record alone.
+// status returns the response to a status request, made from the record alone. It names no workers of a job that waits, or
+// that has ended without a run: those of an earlier attempt hold nothing of it.
 func (record *Record) status() *callerv1.StatusResponse {
 	response := &callerv1.StatusResponse{
 		Outcome:      record.outcome(),
@@ -117,6 +118,9 @@
 		Attempts:     int32(record.Attempt),
 		AcceleratorS: time.Duration(record.Used).Seconds(),
 	}
+	if record.State == StateQueued || response.Outcome == callerv1.Outcome_OUTCOME_NOT_RUN {
+		return response
+	}
 	for _, member := range record.Members {
 		response.Workers = append(response.Workers, string(member.Worker))
 	}
