Do not tell operators that a run ends that is not known to have begun

The dump said of each run in an evacuated data centre that need not be moved that it ends by itself, also of one whose start was not sent or not answered, or that only a former controller had placed.

TestWhyRunIsStillThere failed before for these three and passes.

--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -214,3 +214,40 @@
 		}
 	}
 }
+
+// TestWhyRunIsStillThere guards against operators who are told that a run in an evacuated data centre ends by itself although
+// it is not known whether it has begun, and who wait for it or take the worker away.
+func TestWhyRunIsStillThere(t *testing.T) {
+	const unknown = "it is not known whether it has begun"
+	tests := []struct {
+		name  string
+		learn func(*run)
+		want  string
+	}{
+		{"start not sent", func(run *run) { run.startSent = false }, "its start is not sent yet"},
+		{"unanswered start", func(*run) {}, unknown},
+		{"placed by a former controller", func(run *run) { run.restored = true }, unknown},
+		{"answered start", func(run *run) { run.confirmedAt = 1 }, "it ends by itself"},
+		{"listed", func(run *run) { run.firstListed, run.listedAt = 1, 1 }, "it ends by itself"},
+		{"being stopped", func(run *run) { run.stopping = true }, "it is being stopped"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newTwoCentres(t, 2)
+			job := loop.submit(1, workload.Step{Tasks: 2, Estimate: time.Second, Each: wholeWorker})
+			loop.plan()
+			for placed := range job.runs {
+				placed.startSent = true
+				test.learn(placed)
+			}
+			loop.observeEvacuations(evacuationChange(evacuatedCentre, false), true)
+			for placed := range job.runs {
+				placed.stopping = test.want == "it is being stopped"
+			}
+			dumps, _ := loop.dumpEvacuations()
+			if len(dumps) != 1 || len(dumps[0].Runs) != 1 || dumps[0].Runs[0].Why != test.want {
+				t.Errorf("the dump is %+v, want one run because %s", dumps, test.want)
+			}
+		})
+	}
+}
--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -316,6 +316,10 @@
 	switch {
 	case run.stopping:
 		return "it is being stopped"
+	case !run.startSent:
+		return "its start is not sent yet"
+	case !run.begun():
+		return "it is not known whether it has begun"
 	case !leaves:
 		return "it ends by itself"
 	case !keepsAvailability(unit.runs, now):
