Tell operators of workers of which nothing is known

The dump showed an evacuated data centre as empty while a worker there did not answer, or had not answered a new controller yet, and left out the runs that a worker lists although they are not placed there.

It lists these workers and runs now. TestDumpTellsUnknownWork fails in its three cases without the two additions (played with the new field left empty) and passes.

--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -251,3 +251,32 @@
 		})
 	}
 }
+
+// TestDumpTellsUnknownWork guards against operators who take an evacuated data centre for empty although a worker there does
+// not answer, or lists a run that was not placed there.
+func TestDumpTellsUnknownWork(t *testing.T) {
+	tests := []struct {
+		name         string
+		learn        func(*testLoop, *worker)
+		silent, runs int
+	}{
+		{"empty", func(*testLoop, *worker) {}, 0, 0},
+		{"no response in this term", func(_ *testLoop, known *worker) { known.settled = false }, 1, 0},
+		{"no response any more", func(_ *testLoop, known *worker) { known.unresponsive = true }, 1, 0},
+		{"unexpected run", func(_ *testLoop, known *worker) {
+			id := workload.TaskID{Job: "job"}
+			known.unexpected[runID{task: id, number: 1}] = &run{task: id, number: 1, stopping: true}
+		}, 0, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newTwoCentres(t, 2)
+			loop.observeEvacuations(evacuationChange(evacuatedCentre, false), true)
+			test.learn(loop, loop.workers["w0000"])
+			dumps, _ := loop.dumpEvacuations()
+			if len(dumps) != 1 || len(dumps[0].Silent) != test.silent || len(dumps[0].Runs) != test.runs {
+				t.Errorf("the dump is %+v, want %d silent workers and %d runs", dumps, test.silent, test.runs)
+			}
+		})
+	}
+}
--- a/internal/control/evacuations.go
+++ b/internal/control/evacuations.go
@@ -265,7 +265,9 @@
 	// KnownMS is the time since this controller learnt of the request.
 	KnownMS int64 `json:"known_ms"`
 	Workers int   `json:"workers"`
-	// Runs are the runs that are still there, with the reason.
+	// Silent are those of the workers that do not answer, or have not answered in this term: what runs there is not known.
+	Silent []fleet.WorkerID `json:"silent"`
+	// Runs are the runs that are still there as far as is known, with the reason.
 	Runs []LeavingRunDump `json:"runs"`
 }
 
@@ -282,13 +284,19 @@
 	since := loop.evacuations.Since()
 	for _, dataCentre := range loop.evacuations.DataCentres() {
 		dump := EvacuationDump{
-			DataCentre: dataCentre, KnownMS: (now - since[dataCentre]).Milliseconds(), Runs: []LeavingRunDump{},
+			DataCentre: dataCentre, KnownMS: (now - since[dataCentre]).Milliseconds(),
+			Silent: []fleet.WorkerID{}, Runs: []LeavingRunDump{},
 		}
 		for _, id := range slices.Sorted(maps.Keys(loop.workers)) {
-			if loop.workers[id].entry.DataCentre == dataCentre {
-				dump.Workers++
-				dump.Runs = append(dump.Runs, loop.workers[id].dumpLeaving(now)...)
+			known := loop.workers[id]
+			if known.entry.DataCentre != dataCentre {
+				continue
 			}
+			dump.Workers++
+			if !known.settled || known.unresponsive {
+				dump.Silent = append(dump.Silent, id)
+			}
+			dump.Runs = append(dump.Runs, known.dumpLeaving(now)...)
 		}
 		dumps = append(dumps, dump)
 	}
@@ -306,6 +314,11 @@
 			Task: run.task.String(), Worker: worker.entry.ID, Why: run.whyStillThere(now),
 		})
 	}
+	for id := range worker.unexpected {
+		dumps = append(dumps, LeavingRunDump{
+			Task: id.task.String(), Worker: worker.entry.ID, Why: "it is not placed there, and is being stopped",
+		})
+	}
 	slices.SortFunc(dumps, func(a, b LeavingRunDump) int { return cmp.Compare(a.Task, b.Task) })
 	return dumps
 }
