Export the gauges of a domain only while it is owned

A process went on exporting the gauges of a domain, such as the waiting jobs and the free accelerators, as they were at the end of its term, beside those of the new owner. They are removed when the term ends.

TestGaugesEndWithTheTerm failed before (9 gauges at the former owner, want none) and passes.

--- a/internal/domain/metrics.go
+++ b/internal/domain/metrics.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// ownerGauges are the names of the gauges that only the owner of the domain exports.
+var ownerGauges = []string{
+	"jobs_waiting", "workers_quarantined", "accelerators_free", "guarantee_shortfalls", "evacuated_data_centres",
+	"evacuated_accelerators_in_use", "accelerators_held", "accelerators_guaranteed", "organisation_jobs_waiting",
+}
+
+// removeOwnerGauges removes the gauges of a term that has ended. What they show changes at another process now.
+func (service *Service) removeOwnerGauges() { metrics.RemoveGauges(service.Metrics, ownerGauges...) }
+
 // updateGauges copies the state of the scheduler to gauges, at most once per gaugeInterval.
 func (owner *owner) updateGauges(now time.Time) {
 	if now.Sub(owner.gaugesUpdatedAt) < gaugeInterval {
--- a/internal/domain/service.go
+++ b/internal/domain/service.go
@@ -220,6 +220,7 @@
 	service.owner = nil
 	service.mutex.Unlock()
 	owner.close()
+	service.removeOwnerGauges()
 	service.Logger.Info("domain released", "domain", service.domain(), "owner", owner.termID, "reason", reason)
 }
 
--- a/internal/domain/told_test.go
+++ b/internal/domain/told_test.go
@@ -106,3 +106,38 @@
 		time.Sleep(30 * time.Second)
 	})
 }
+
+// TestGaugesEndWithTheTerm guards against a process that goes on exporting the gauges of the domain as they were at the end of
+// its term, beside those of the new owner.
+func TestGaugesEndWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, configs := newEvacuationCluster(t)
+		defer cluster.close()
+		owner, former := cluster.startProcess("p0"), cluster.startProcess("p1")
+		if _, err := configs[owner.service].Apply(t.Context(), &operatorv1.ApplyRequest{
+			EditId: "a", Organisation: "org", DocumentJson: evacuationDocument,
+		}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		exports := func(process *process) (gauges int) {
+			process.service.Metrics.Each(func(_ string, metric any) {
+				if _, ok := metric.(gometrics.Gauge); ok {
+					gauges++
+				}
+			})
+			return gauges
+		}
+		// Each process owns the domain while it does not see the other.
+		cluster.setPartitioned(true)
+		time.Sleep(20 * time.Second)
+		if exports(owner) == 0 || exports(former) == 0 {
+			t.Errorf("the owners export %d and %d gauges", exports(owner), exports(former))
+		}
+		cluster.setPartitioned(false)
+		time.Sleep(10 * time.Second)
+		if exports(owner) == 0 || exports(former) > 0 {
+			t.Errorf("the owner exports %d gauges, and the former one %d, want none", exports(owner), exports(former))
+		}
+	})
+}
