Export the gauges of the controller only during its term

As the owner of a domain, a controller went on exporting its gauges after its term: the groups of its last plan, the capacity kept free, the tombstones. They are removed when the term ends.

TestGaugesEndWithTheTerm in internal/control failed before (six gauges left) and passes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,7 +87,7 @@
 	group.Go(loop.run)
 	err := group.Wait()
 	controller.current.Store(nil)
-	loop.closeLinks()
+	loop.endTerm()
 	controller.Logger.Info("controller stopped", "token", int64(held.Token), "reason", err.Error())
 }
 
@@ -281,6 +281,18 @@
 	loop.nextPlan = ended + min(max(minPlanPause, planPauseFactor*taken), maxPlanPause)
 }
 
+// termGauges are the names of the gauges that only the controller exports.
+var termGauges = []string{
+	"plan_groups", "plan_partial_jobs", "headroom_accelerators", "urgent_accelerators_per_second", "interfering_pairs",
+	"placed_jobs_not_begun", "tombstones",
+}
+
+// endTerm closes the links to all workers and removes the gauges of the term: what they show changes at another process now.
+func (loop *dispatcher) endTerm() {
+	loop.closeLinks()
+	metrics.RemoveGauges(loop.Metrics, termGauges...)
+}
+
 func (loop *dispatcher) closeLinks() {
 	for _, worker := range loop.workers {
 		if worker.link != nil {
--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
@@ -280,3 +282,30 @@
 		})
 	}
 }
+
+// TestGaugesEndWithTheTerm guards against a process that goes on exporting the gauges of the controller as they were at the end
+// of its term, beside those of the new controller.
+func TestGaugesEndWithTheTerm(t *testing.T) {
+	loop := newTestLoop(t, 4)
+	loop.Tombstones = ledger.NewTombstoneCache(loop.Logger)
+	loop.submit(0, workload.Step{Tasks: 2, Each: workload.Resources{Accelerators: 8}})
+	loop.plan()
+	loop.countJobsNotBegun()
+	loop.removeTombstones()
+	gauges := func() (names []string) {
+		loop.Metrics.Each(func(name string, metric any) {
+			switch metric.(type) {
+			case gometrics.Gauge, gometrics.GaugeFloat64:
+				names = append(names, name)
+			}
+		})
+		return names
+	}
+	if count := len(gauges()); count < 5 {
+		t.Errorf("%d gauges are exported during the term, want at least 5", count)
+	}
+	loop.endTerm()
+	if left := gauges(); len(left) > 0 {
+		t.Errorf("%q are exported after the term, want none", left)
+	}
+}
