Count an attempt of a request only once it may have been sent

The status of a request that is not idempotent said that it had been attempted as soon as its home had taken its id, also while it waited for a slot and after a target had refused it.

TestStatusCountsSentAttempts failed before (1 attempt while waiting and after a refusal, want 0) and passes.

--- a/internal/target/faults_test.go
+++ b/internal/target/faults_test.go
@@ -230,3 +230,29 @@
 		}
 	})
 }
+
+// TestStatusCountsSentAttempts guards against the status of a request that waits for a slot and is said to have been
+// attempted.
+func TestStatusCountsSentAttempts(t *testing.T) {
+	ledger := newLedger(10, 50)
+	call := &callerv1.CallRequest{RequestId: "r", FirstSentUnixMs: time.Now().UnixMilli()}
+	made := newTask("org", call, &profile.Profile{}, time.Now().Add(time.Minute))
+	if _, fresh, _ := ledger.begin(made, time.Now().Add(-time.Hour)); !fresh {
+		t.Fatal("the request is refused")
+	}
+	check := func(when string, want int32) {
+		t.Helper()
+		status := ledger.status(made.key)
+		if status.Attempts != want || status.Outcome != callerv1.Outcome_OUTCOME_PENDING {
+			t.Errorf("%s: %v, want %d attempts", when, status, want)
+		}
+	}
+	check("waiting", 0)
+	made.startAttempt()
+	check("sent", 1)
+	made.endAttempt(true)
+	check("refused by the target", 0)
+	made.startAttempt()
+	made.endAttempt(false)
+	check("may have run", 1)
+}
--- a/internal/target/ledger.go
+++ b/internal/target/ledger.go
@@ -23,6 +23,8 @@
 // record is the state of one request id at its home.
 type record struct {
 	key string
+	// task is the request in progress; nil once it has ended.
+	task *task
 	// done is closed when response is set.
 	done     chan struct{}
 	response *callerv1.CallResponse
@@ -105,7 +107,7 @@
 	}
 	// The time of the first submission can be up to maxClockSkew ahead of this clock. Copies then pass the age check
 	// above for up to maxClockSkew longer.
-	added := &record{key: task.key, done: make(chan struct{}), expiresAt: now.Add(historyRetention + 2*maxClockSkew)}
+	added := &record{key: task.key, task: task, done: make(chan struct{}), expiresAt: now.Add(historyRetention + 2*maxClockSkew)}
 	ledger.records[added.key] = added
 	added.ageElement = ledger.byAge.PushBack(added)
 	return added, true, nil
@@ -116,7 +118,7 @@
 func (ledger *ledger) finish(ended *record, response *callerv1.CallResponse) {
 	ledger.mu.Lock()
 	defer ledger.mu.Unlock()
-	ended.response = response
+	ended.response, ended.task = response, nil
 	if response.GetOutcome() == callerv1.Outcome_OUTCOME_NOT_RUN {
 		ledger.remove(ended)
 	} else {
@@ -189,7 +191,7 @@
 	defer ledger.mu.Unlock()
 	if known, ok := ledger.records[key]; ok {
 		if known.response == nil {
-			return &callerv1.StatusResponse{Outcome: callerv1.Outcome_OUTCOME_PENDING, Attempts: 1}
+			return &callerv1.StatusResponse{Outcome: callerv1.Outcome_OUTCOME_PENDING, Attempts: known.task.attempts()}
 		}
 		return &callerv1.StatusResponse{
 			Outcome:  known.response.GetOutcome(),
--- a/internal/target/task.go
+++ b/internal/target/task.go
@@ -100,6 +100,16 @@
 	task.mayHaveRun = true
 }
 
+// attempts returns 1 if an attempt may have reached a target or a peer, unless the request did not run there, and 0 otherwise.
+func (task *task) attempts() int32 {
+	task.mu.Lock()
+	defer task.mu.Unlock()
+	if task.phase == phaseSent || task.mayHaveRun {
+		return 1
+	}
+	return 0
+}
+
 // abandon records that the caller no longer waits, and withdraws the task if no attempt is in progress. It returns true
 // if the request has not run and will not run.
 func (task *task) abandon() bool {
