Say that a lost attempt may have run

The reason of an unknown outcome said that an attempt ran. The owner may know no more than the decision to start it, which its predecessor had stored before it was lost.

TestReasonOfUnknownOutcome failed before ("an attempt ran and was lost" of a job of which nothing ran) and passes.

--- a/internal/domain/end.go
+++ b/internal/domain/end.go
@@ -79,7 +79,7 @@
 		return
 	}
 	owner.endJob(job, scheduler.VerdictUnknown, fault.AnswerLost,
-		"an attempt ran and was lost, and the job is not idempotent")
+		"an attempt may have run, its end is not known, and the job is not idempotent")
 }
 
 // endOrRequeue ends or requeues a job after an attempt. It handles jobs that are not in the core, about which the core
--- a/internal/domain/told_test.go
+++ b/internal/domain/told_test.go
@@ -141,3 +141,22 @@
 		}
 	})
 }
+
+// TestReasonOfUnknownOutcome guards against callers who are told that an attempt ran although only the decision to start it is
+// known.
+func TestReasonOfUnknownOutcome(t *testing.T) {
+	runCluster(t, 4, 2, func(t *testing.T, cluster *cluster) {
+		// The first write creates the record, the second one is that of the attempt.
+		cluster.processes[0].crashAfter("swap", 2)
+		if err := cluster.submit("j", nonIdempotentProfile, standin.Input{RunTimeMS: 10_000}); err != nil {
+			t.Error(err)
+		}
+		cluster.awaitOutcome("j", unknown, 90*time.Second)
+		if runs := cluster.attemptsRun("j"); runs != 0 {
+			t.Errorf("%d attempts ran, want none", runs)
+		}
+		if _, reason := cluster.status("j"); !strings.Contains(reason, "may have run") {
+			t.Errorf("the reason is %q, want that an attempt may have run", reason)
+		}
+	})
+}
