Take no tombstone for granted by an old copy

A cancellation of a job that is not stored was answered without a write if this process knew a tombstone of the job, however old its copy was. The tombstone may have been removed since, and would not keep out a submission whose write is under way.

A copy older than 2 s is no longer relied on, and the tombstone is stored again. TestTombstoneFromAnOldCopy failed before (no write with a copy that is a minute old) and passes.

--- a/internal/gateway/cancel.go
+++ b/internal/gateway/cancel.go
@@ -18,6 +18,9 @@
 	maxTombstones = 1 << 14
 	// minTombstones is the number of tombstones that each organisation may have at the least.
 	minTombstones = 64
+	// maxTombstonesAge is the age of the copy of the tombstones from which on a tombstone is stored again instead of taken for
+	// one that still exists. The copy is one with that of the statuses, and follows the store within a second.
+	maxTombstonesAge = 2 * time.Second
 	// tombstonesRetryAfter is the retry delay sent to a caller whose organisation has as many tombstones as it may.
 	tombstonesRetryAfter = 5 * time.Second
 )
@@ -112,7 +115,8 @@
 func (cancellation *cancellation) storeTombstone(ctx context.Context) error {
 	gateway, admitted := cancellation.gateway, cancellation.admitted
 	key := tombstoneKey(admitted.organisation, admitted.profile.Name, admitted.job)
-	if !validID(admitted.job) || gateway.Tombstones.Has(key) {
+	known := gateway.Tombstones.Has(key) && gateway.StatusesAge() <= maxTombstonesAge
+	if !validID(admitted.job) || known {
 		return errNoSuchJob
 	}
 	if count := gateway.Tombstones.Count(admitted.organisation); count >= gateway.tombstoneLimit() {
