List leases of unknown attempts in evacuated data centres

The list of evacuations left out leases that workers report and that belong to no attempt which the owner knows, such as those of an attempt that was started while the store was away. Operators saw no work in a data centre where some was.

TestUnmatchedLeaseIsListed failed before (an empty list) and passes.

--- a/internal/domain/evacuations.go
+++ b/internal/domain/evacuations.go
@@ -10,6 +10,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/quetzalstall/quetzalstall/internal/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
 	"github.com/quetzalstall/quetzalstall/pkg/api/peerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
@@ -161,7 +162,7 @@
 }
 
 // uncertainWork lists, by data centre, the jobs that are not in the core and may have members on workers of evacuated
-// data centres: those in recovery and those being stopped.
+// data centres: those in recovery, those being stopped, and those of leases that belong to no known attempt.
 func (owner *owner) uncertainWork() map[fleet.DataCentreID][]*operatorv1.EvacuatedJob {
 	centres := map[fleet.WorkerID]fleet.DataCentreID{}
 	inventory := owner.service.Inventory()
@@ -181,6 +182,9 @@
 			found[centre] = append(found[centre], job.asUncertain())
 		}
 	}
+	for at, leases := range owner.unmatchedIn(centres) {
+		found[at.centre] = append(found[at.centre], asUncertain(at.key, leases))
+	}
 	for _, jobs := range found {
 		slices.SortFunc(jobs, func(left, right *operatorv1.EvacuatedJob) int {
 			return cmp.Or(cmp.Compare(left.Organisation, right.Organisation), cmp.Compare(left.JobId, right.JobId))
@@ -206,6 +210,41 @@
 	return listed
 }
 
+// jobIn is a job in a data centre.
+type jobIn struct {
+	centre fleet.DataCentreID
+	key    fleet.JobKey
+}
+
+// unmatchedIn returns the active leases on workers of the given data centres that belong to no known attempt.
+func (owner *owner) unmatchedIn(centres map[fleet.WorkerID]fleet.DataCentreID) map[jobIn][]worker.Lease {
+	found := map[jobIn][]worker.Lease{}
+	for id, unmatched := range owner.unmatched {
+		centre, evacuated := centres[unmatched.worker]
+		lease, known := owner.manager.Lease(unmatched.worker, id)
+		if job := owner.jobs[unmatched.key]; evacuated && known && lease.Active() && (job == nil || !job.holds(id)) {
+			at := jobIn{centre, unmatched.key}
+			found[at] = append(found[at], lease)
+		}
+	}
+	return found
+}
+
+// asUncertain describes a job with leases that belong to no known attempt.
+func asUncertain(key fleet.JobKey, leases []worker.Lease) *operatorv1.EvacuatedJob {
+	listed := &operatorv1.EvacuatedJob{
+		Organisation: string(key.Organisation), JobId: string(key.Job),
+		Reason: "workers report leases of it that belong to no known attempt",
+	}
+	workers := map[fleet.WorkerID]bool{}
+	for _, lease := range leases {
+		listed.Accelerators += int64(lease.Accelerators)
+		workers[lease.Worker] = true
+	}
+	listed.Workers = int32(len(workers))
+	return listed
+}
+
 // logEvacuations logs the data centres that a new configuration evacuates or takes back.
 func (owner *owner) logEvacuations(next *profile.Config) {
 	var current map[fleet.DataCentreID]profile.Evacuation
--- a/internal/domain/told_test.go
+++ b/internal/domain/told_test.go
@@ -11,6 +11,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/operator"
 	standin "github.com/quetzalstall/quetzalstall/internal/standin/worker"
 	"github.com/quetzalstall/quetzalstall/pkg/api/operatorv1"
+	"github.com/quetzalstall/quetzalstall/pkg/api/workerv1"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
 )
 
@@ -160,3 +161,37 @@
 		}
 	})
 }
+
+// TestUnmatchedLeaseIsListed guards against operators who take an evacuated data centre for empty while a worker there reports a
+// lease that belongs to no attempt that the owner knows.
+func TestUnmatchedLeaseIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, configs := newEvacuationCluster(t)
+		defer cluster.close()
+		service := startOne(t, cluster, configs, evacuationDocument)
+		if _, err := configs[service].Evacuate(t.Context(), &operatorv1.EvacuateRequest{DataCentre: "d0"}); err != nil {
+			t.Fatal(err)
+		}
+		held := cluster.workers[cluster.fleet.Workers[0].ID]
+		sync, err := held.Sync(t.Context(), &workerv1.SyncRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		granted, err := held.Reserve(t.Context(), &workerv1.ReserveRequest{
+			LeaseId: "l", Accelerators: 4, TtlMs: 10_000, ExpiresWorkerMs: sync.WorkerMs + 1000,
+			Label: &workerv1.LeaseLabel{Organisation: "org", JobId: "j", Attempt: 1, GangMembers: 1},
+		})
+		if err != nil || !granted.Granted {
+			t.Fatalf("the lease is not granted: %v, %v", granted, err)
+		}
+		time.Sleep(3 * time.Second)
+		listed := service.ListEvacuations(t.Context()).Evacuations[0]
+		if len(listed.Jobs) != 1 || listed.Jobs[0].JobId != "j" || listed.AcceleratorsInUse != 4 || listed.RunningJobs != 1 {
+			t.Errorf("list with an active lease of an unknown job: %v", listed)
+		}
+		time.Sleep(20 * time.Second)
+		if listed := service.ListEvacuations(t.Context()).Evacuations[0]; len(listed.Jobs) > 0 {
+			t.Errorf("list after the end of the lease: %v", listed)
+		}
+	})
+}
