Tell operators when the list of evacuated work is not complete

A new owner knows the work in an evacuated data centre only once it has heard of the workers, but its list did not say so: an empty list without a problem looked like an empty data centre. It reports revision 0 until the domain is settled, which the list names as a problem.

TestListTellsOfTakeover failed before (no problem 3 s after the loss of the owner) and passes.

--- a/internal/domain/evacuations.go
+++ b/internal/domain/evacuations.go
@@ -106,7 +106,11 @@
 			fmt.Sprintf("the work of domain %s is not known: %s", report.domain, fault.FromError(report.err).Reason))
 		return
 	}
-	if report.response.Revision < int64(revision) {
+	switch applied := report.response.Revision; {
+	case applied == 0:
+		listed.Problems = append(listed.Problems,
+			fmt.Sprintf("the owner of domain %s is taking over: not all work there is known yet", report.domain))
+	case applied < int64(revision):
 		listed.Problems = append(listed.Problems, fmt.Sprintf("the owner of domain %s has not applied revision %d yet",
 			report.domain, revision))
 	}
@@ -137,7 +141,9 @@
 	if owner.config == nil {
 		return response
 	}
-	response.Revision = int64(owner.config.Revision)
+	if owner.settled {
+		response.Revision = int64(owner.config.Revision)
+	}
 	uncertain := owner.uncertainWork()
 	for _, work := range owner.core.EvacuatedWork(time.Now()) {
 		listed := &peerv1.EvacuatedWork{
--- a/internal/domain/told_test.go
+++ b/internal/domain/told_test.go
@@ -195,3 +195,28 @@
 		}
 	})
 }
+
+// TestListTellsOfTakeover guards against operators who take a list of evacuated work for complete while a new owner has not
+// heard of all workers yet.
+func TestListTellsOfTakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster, configs := newEvacuationCluster(t)
+		defer cluster.close()
+		service := startOne(t, cluster, configs, evacuationDocument)
+		next := cluster.startProcess("p1")
+		time.Sleep(time.Second)
+		if _, err := configs[service].Evacuate(t.Context(), &operatorv1.EvacuateRequest{DataCentre: "d0"}); err != nil {
+			t.Fatal(err)
+		}
+		cluster.processes[0].kill()
+		time.Sleep(3 * time.Second)
+		problems := next.service.ListEvacuations(t.Context()).Evacuations[0].Problems
+		if len(problems) != 1 || !strings.Contains(problems[0], "taking over") {
+			t.Errorf("problems during the takeover: %q, want that the owner is taking over", problems)
+		}
+		time.Sleep(20 * time.Second)
+		if problems := next.service.ListEvacuations(t.Context()).Evacuations[0].Problems; len(problems) > 0 {
+			t.Errorf("problems after the takeover: %q, want none", problems)
+		}
+	})
+}
