Count the survival of a run from the answer to its start

The time counts from the answer now, as it does where the work until a crash is reckoned. TestSurvivalCountsFromTheStart failed before (a run that was answered 0.1 s ago had survived) and passes.

--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -170,14 +170,20 @@
 // workedUntilCrash returns how long the run had worked when its worker crashed: after the last response of the worker and
 // before it stopped answering.
 func (run *run) workedUntilCrash(worker *worker) progress.WorkTime {
-	began := run.confirmedAt
-	if began == 0 {
-		began = run.startedAt
-	}
+	began := run.begunBy()
 	atLeast := max(0, worker.lastHeard-began)
 	return progress.WorkTime{AtLeast: atLeast, AtMost: max(atLeast, worker.failingSince-began)}
 }
 
+// begunBy returns the time by which the run had begun, if it has: that of the response to its start or, if there is none, that
+// at which the start was sent.
+func (run *run) begunBy() time.Duration {
+	if run.confirmedAt != 0 {
+		return run.confirmedAt
+	}
+	return run.startedAt
+}
+
 func (run *run) mayHaveCrashed(worker *worker) bool {
 	switch {
 	case !run.presence().evidence() || run.survived:
--- a/internal/control/decided_test.go
+++ b/internal/control/decided_test.go
@@ -9,6 +9,7 @@
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/pkg/progress"
+	"github.com/quetzalstall/quetzalstall/pkg/workerhealth"
 	"github.com/quetzalstall/quetzalstall/pkg/workload"
 )
 
@@ -309,3 +310,35 @@
 		t.Errorf("%q are exported after the term, want none", left)
 	}
 }
+
+// TestSurvivalCountsFromTheStart guards against a run that counts as one that works, so that it is above suspicion and its
+// worker sound, because its start was sent long ago although the worker has only just begun it.
+func TestSurvivalCountsFromTheStart(t *testing.T) {
+	const sent, late = time.Minute, 1200 * time.Millisecond
+	tests := []struct {
+		name      string
+		answered  time.Duration
+		requested time.Duration
+		survived  bool
+	}{
+		{"answered at once, listed soon", sent, sent + 100*time.Millisecond, false},
+		{"answered at once, listed later", sent, sent + workerhealth.SurvivalTime, true},
+		{"answered late, listed soon after", sent + late, sent + late + 100*time.Millisecond, false},
+		{"answered late, listed later", sent + late, sent + late + workerhealth.SurvivalTime, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			loop := newTestLoop(t, 1)
+			loop.now = sent
+			job := loop.submit(1, workload.Step{Tasks: 1, Each: workload.Resources{Accelerators: 1}})
+			loop.plan()
+			for began := range job.runs {
+				began.startSent, began.startedAt, began.confirmedAt = true, sent, test.answered
+				loop.recordSurvivors(loop.workers["w0000"], []*run{began}, test.requested)
+				if began.survived != test.survived {
+					t.Errorf("survived is %t, want %t", began.survived, test.survived)
+				}
+			}
+		})
+	}
+}
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -37,7 +37,7 @@
 // recordSurvivors records the listed runs that have worked long enough to show that their worker is sound.
 func (loop *dispatcher) recordSurvivors(worker *worker, listed []*run, requested time.Duration) {
 	for _, run := range listed {
-		if run.startSent && !run.stopping && requested-run.startedAt >= workerhealth.SurvivalTime {
+		if run.startSent && !run.stopping && requested-run.begunBy() >= workerhealth.SurvivalTime {
 			run.survived = true
 			run.recordSurvival(worker)
 		}
