--- a/internal/control/crash.go
+++ b/internal/control/crash.go
@@ -102,7 +102,7 @@
 	}
 	crash := progress.Crash{
 		Late: !run.mayHaveCrashed(crashed), Worked: run.workedUntilCrash(crashed), StartUnknown: run.restored, Lone: cause.lone,
-		Lasting: run.step().LongRunning,
+		Lasting: run.step().LongRunning, Decided: run.presence() == presenceRecorded,
 	}
 	if crash.Late {
 		if !cause.single {
@@ -170,14 +170,20 @@
 // workedUntilCrash returns how long the run had worked when its worker crashed: after the last response of the worker and
 // before it stopped answering.
 func (run *run) workedUntilCrash(worker *worker) progress.WorkTime {
-	began := run.confirmedAt
-	if began == 0 {
-		began = run.startedAt
-	}
+	began := run.begunBy()
 	atLeast := max(0, worker.lastHeard-began)
 	return progress.WorkTime{AtLeast: atLeast, AtMost: max(atLeast, worker.failingSince-began)}
 }
 
+// begunBy returns the time by which the run had begun, if it has: that of the response to its start or, if there is none, that
+// at which the start was sent.
+func (run *run) begunBy() time.Duration {
+	if run.confirmedAt != 0 {
+		return run.confirmedAt
+	}
+	return run.startedAt
+}
+
 func (run *run) mayHaveCrashed(worker *worker) bool {
 	switch {
 	case !run.presence().evidence() || run.survived:
@@ -230,6 +236,16 @@
 	job.suspectedSince[id] = now
 }
 
+// noteSeen records that the present incarnation of a worker has begun the run of a task under which workers have crashed.
+func (loop *dispatcher) noteSeen(run *run) {
+	if run.onNextIncarnation || run.presence() < presenceConfirmed {
+		return
+	}
+	if run.job.record.NoteSeen(run.task, run.number) {
+		loop.markDirty(run.job)
+	}
+}
+
 // clearSuspicion forgets the crashes under a task whose run was listed as working at two times far enough apart.
 func (loop *dispatcher) clearSuspicion(run *run, requested time.Duration) {
 	if run.cleared || run.firstListed == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,7 +63,7 @@
 	Refreshing() bool
 }
 
-// StatusSource keeps a copy of all job statuses up to date.
+// StatusSource keeps a copy of all job statuses and tombstones up to date.
 type StatusSource interface {
 	// Synced reports whether all stored statuses have been read at least once.
 	Synced() bool
@@ -88,7 +88,7 @@
 	Configuration ConfigurationSource
 	Statuses      *ledger.StatusCache
 	Tombstones    *ledger.TombstoneCache
-	// StatusSource keeps Statuses up to date.
+	// StatusSource keeps Statuses and Tombstones up to date.
 	StatusSource StatusSource
 	// StoreLost reports whether this process cannot reach the store. While it cannot, submissions and cancellations are
 	// refused at once, because the caller gets a response sooner from another process.
