Give up runs of former controllers sooner if these have sent their last orders

Cause: a run that a former controller placed on a worker which does not answer was given up FormerLeaseLimit (16 s) after the start of the term, as if the former controller could always be cut off from the store and extend leases for 10 s more.

Change: the holder of a term identifies itself in the store, with a random id of the process, in the transaction that takes the term. Each process observes who holds the term. A new holder asks the former ones at their peer addresses: another life of the process, or an answer that it is idle or leads a later term, proves when the last order was sent. The record of a placed run tells its term, and when leases of orders with lower tokens have ended, so that earlier terms and orders for earlier incarnations need no proof. Without a proof, or with records of an earlier version, the bound is as before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -55,6 +55,11 @@
 	// FormerLeaseLimit is the longest time for which leases that a former controller granted can last after the start
 	// of a term. A former controller is the controller of an earlier term.
 	FormerLeaseLimit time.Duration
+	// FormerLeasesEnd returns a time by which all leases have ended that controllers have granted, in the terms from one
+	// token up to but not including another one, by orders that the intended incarnations carried out. It returns false if
+	// the time is not known. It is sooner than FormerLeaseLimit allows if these controllers are known to have ceased to send
+	// orders. It may be nil.
+	FormerLeasesEnd func(from, to keyvalue.Revision) (at time.Duration, known bool)
 	// MaxValueBytes is the size of a document that the store takes at the most.
 	MaxValueBytes progress.Bytes
 	// Retention is how long the documents of an ended job are kept.
@@ -129,6 +134,9 @@
 	// invalidEntries are the entries under WorkerPrefix that name no worker to use.
 	invalidEntries *keyvalue.InvalidItems
 	workers        map[fleet.WorkerID]*worker
+	// entriesConfirmedAt is the latest time at which the entries of the workers were known to be complete; 0 if they never
+	// were in this term.
+	entriesConfirmedAt time.Duration
 	// contested are the latest entries of workers that contradict what is known of them; see contradicts.
 	contested map[fleet.WorkerID]WorkerEntry
 	// restartedAt has the time at which each worker last named another incarnation, and restarts those replacements of
@@ -318,7 +326,7 @@
 	if worker.link == nil {
 		return loop.clock() > loop.started+loop.FormerLeaseLimit
 	}
-	return worker.unresponsive && worker.link.leasesExpired()
+	return worker.unresponsive && (worker.link.leasesExpired() || loop.restoredLeasesExpired(worker))
 }
 
 func (loop *dispatcher) removeWorker(worker *worker) {
--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -332,6 +332,7 @@
 		known = newWorker(WorkerEntry{ID: at.Worker, Incarnation: at.Incarnation, Address: at.Address})
 		loop.workers[at.Worker] = known
 	}
+	known.restored.add(at)
 	placed.link, placed.share = known.link, unknownShare
 	if placed.bestEffort() {
 		known.throttle.share = restoredShare
--- a/internal/control/explain_rehearsal.go
+++ b/internal/control/explain_rehearsal.go
@@ -112,8 +112,9 @@
 		MaxEvacuationAge: controller.MaxEvacuationAge, Catalog: controller.Catalog, Clock: controller.Clock,
 		MaxReportAge: controller.MaxReportAge, ReportsOutdated: controller.ReportsOutdated,
 		LeaseDuration: controller.LeaseDuration, MaxLease: controller.MaxLease,
-		FormerLeaseLimit: controller.FormerLeaseLimit, MaxValueBytes: controller.MaxValueBytes,
-		Retention: controller.Retention, Interference: controller.Interference,
+		FormerLeaseLimit: controller.FormerLeaseLimit, FormerLeasesEnd: controller.FormerLeasesEnd,
+		MaxValueBytes: controller.MaxValueBytes,
+		Retention:     controller.Retention, Interference: controller.Interference,
 		Logger: hclog.NewNullLogger(), Metrics: gometrics.NewRegistry(),
 	}
 }
--- a/internal/control/formerleases.go
+++ b/internal/control/formerleases.go
@@ -17,19 +17,24 @@
 	// strayUntil is the local time until which a lease may last that a stray order has granted to an incarnation that has
 	// received no token of the link. It is carried over to the next link, for a later incarnation.
 	strayUntil time.Duration
+	// first is set for the first link to a worker in the term.
+	first bool
 }
 
 // firstFormerLeases bounds the leases that former controllers have granted, for the first link to a worker in the term.
 func (loop *dispatcher) firstFormerLeases() formerLeases {
 	until := loop.started + loop.FormerLeaseLimit
-	return formerLeases{until: until, strayUntil: until + loop.strayLeaseLimit()}
+	return formerLeases{until: until, strayUntil: until + loop.strayLeaseLimit(), first: true}
 }
 
 // longestLease is the time by which the longest lease on a worker has ended, whose clock may be slow.
 func (loop *dispatcher) longestLease() time.Duration {
-	return localTime(max(loop.MaxLease, loop.LeaseDuration)) + leaseExpirySlack
+	return localTime(loop.maxLease()) + leaseExpirySlack
 }
 
+// maxLease is the longest lease that a worker grants, on its own clock.
+func (loop *dispatcher) maxLease() time.Duration { return max(loop.MaxLease, loop.LeaseDuration) }
+
 // strayLeaseLimit is the time after an order was sent by which a lease has ended that it has granted to a later
 // incarnation.
 func (loop *dispatcher) strayLeaseLimit() time.Duration { return lateExecution + loop.longestLease() }
@@ -100,7 +105,9 @@
 	if !link.responded {
 		// The link has granted no lease, so that its bound holds for the next link too. Otherwise the runs of a silent
 		// worker would never be given up while its entries name one incarnation after the other.
-		return link.former
+		former := link.former
+		former.first = false
+		return former
 	}
 	now := link.loop.clock()
 	next := formerLeases{strayUntil: link.former.strayUntil}
--- a/internal/control/link.go
+++ b/internal/control/link.go
@@ -35,7 +35,10 @@
 	// orders that may reach a later incarnation.
 	former formerLeases
 	strays strayOrders
-	duty   linkDuty
+	// priorLeases is the time on the worker's clock by which the leases have ended that orders with lower tokens have
+	// granted; 0 if it is not known. The worker refuses such orders once it has responded.
+	priorLeases WorkerClock
+	duty        linkDuty
 	// responded is set once the worker has responded to a poll with this link's token. lastResponse is the time of the
 	// last response to a poll.
 	responded    bool
@@ -287,6 +290,7 @@
 		link.responded = true
 		link.former.narrow(link.loop.clock(), link.loop.longestLease())
 	}
+	link.recordPriorLeases(listing)
 	link.lastResponse = link.loop.clock()
 	link.acknowledgedSent = max(link.acknowledgedSent, order.Acknowledged)
 	link.mu.Unlock()
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -85,6 +85,10 @@
 			readAt := time.Now()
 			loop.post(func(loop *dispatcher) { loop.observeWorkers(changes, complete, readAt) })
 		},
+		Confirm: func(at time.Duration) {
+			loop.post(func(loop *dispatcher) { loop.entriesConfirmedAt = at })
+		},
+		Clock: loop.Clock,
 	}
 	loop.group.Go(func() error { return jobs.Run(loop.ctx) })
 	loop.group.Go(func() error { return workers.Run(loop.ctx) })
--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -193,7 +193,7 @@
 	job, unit, step := candidate.job, candidate.unit, candidate.step()
 	locations := make([]progress.Location, len(places))
 	for i, id := range places {
-		locations[i] = loop.workers[id].entry.location()
+		locations[i] = loop.workers[id].location(loop.term.Token)
 	}
 	number := job.record.Place(job.Job, unit, locations)
 	tasks := job.record.Tasks(unit.Occurrence, unit.Step)
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -203,6 +203,8 @@
 	// lastHeard is the time of the worker's last response to a poll.
 	lastHeard time.Duration
 	runs      map[workload.TaskID]*run
+	// restored is what the records of runs that former controllers placed tell of leases on the worker.
+	restored restoredLeases
 	// unexpected are the runs that the worker lists although they are not among runs. Their job is nil.
 	unexpected map[runID]*run
 	// used is the capacity of all runs, including those that are stopping.
--- a/internal/control/worker.go
+++ b/internal/control/worker.go
@@ -39,11 +39,6 @@
 	ReadAt time.Time
 }
 
-// location returns the worker, its incarnation and its address.
-func (entry WorkerEntry) location() progress.Location {
-	return progress.Location{Worker: entry.ID, Incarnation: entry.Incarnation, Address: entry.Address}
-}
-
 // StartOrder starts a run.
 type StartOrder struct {
 	Task       workload.TaskID
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -23,6 +23,9 @@
 	// TermKey is the key that the process which makes the scheduling decisions has written under a lease. It exists
 	// during the term of this process.
 	TermKey = LivePrefix + "term"
+	// HolderKey is the key of the document in which the holder of the term identifies itself. It is written and deleted
+	// with TermKey.
+	HolderKey = LivePrefix + "holder"
 	// MemberPrefix covers the member records of entry processes.
 	MemberPrefix = LivePrefix + "member/"
 	statusPrefix = LivePrefix + "status/"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/quetzalstall/quetzalstall/internal/formerterm"
 	"github.com/quetzalstall/quetzalstall/internal/handover"
 	"github.com/quetzalstall/quetzalstall/internal/metrics"
 	"github.com/quetzalstall/quetzalstall/pkg/fault"
@@ -204,6 +205,7 @@
 	request.Header = call.Header.Clone()
 	request.Header.Del("Connection")
 	handover.RemoveLeaseHeader(request.Header)
+	formerterm.RemoveStatusHeader(request.Header)
 	request.Header.Set(revisionHeader, strconv.FormatInt(max(relay.highestSeen(), relay.ConfigRevision()), 10))
 	received, err := relay.Client.Do(request)
 	if err != nil {
--- a/internal/term/term.go
+++ b/internal/term/term.go
@@ -67,6 +67,10 @@
 	Store keyvalue.Store
 	// Key is the key of the term in the store, and Name is the value that is written to it.
 	Key, Name string
+	// HolderKey is a second key that is written with the term and ends with it, with the value Holder; empty if there is
+	// none.
+	HolderKey string
+	Holder    []byte
 	// TTL is the time to live of the term's lease.
 	TTL time.Duration
 	// StoreOutageGrace is how long after the TTL the holder may still extend the leases of workers without contact with
@@ -83,6 +87,8 @@
 	// process. If it is nil, leases are not revoked in this way.
 	RevokeThroughPeer func(ctx context.Context, lease keyvalue.LeaseID) error
 	Clock             Clock
+	// RecordPhase is called when this process begins a campaign, before Lead, and after both. It may be nil.
+	RecordPhase func(phase Phase, token keyvalue.Revision)
 	// Lead runs while this process holds the term. It must return when its context ends. If it returns earlier, the
 	// term ends.
 	Lead   func(ctx context.Context, term *Term)
@@ -97,6 +103,19 @@
 	changed chan struct{}
 }
 
+// Phase is what a process does in the election.
+type Phase string
+
+// The phases of a process.
+const (
+	// Idle means that the process neither leads a term nor tries to take one.
+	Idle Phase = "idle"
+	// Campaigning means that the process tries to take the term.
+	Campaigning Phase = "campaigning"
+	// Leading means that Lead runs.
+	Leading Phase = "leading"
+)
+
 const (
 	// callTimeout limits one call to the store.
 	callTimeout = 600 * time.Millisecond
@@ -170,15 +189,26 @@
 func (elector *Elector) campaign(ctx context.Context) *Term {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	elector.recordPhase(Campaigning, 0)
+	// The campaign ends with Lead or without effect: a term whose transaction is carried out later is never led.
+	taken := false
+	defer func() {
+		if !taken {
+			elector.recordPhase(Idle, 0)
+		}
+	}()
 	sent := elector.Clock()
 	lease, ttl, err := elector.Store.Grant(ctx, elector.TTL)
 	if err != nil {
 		elector.Logger.Warn("failed to grant a lease for the term", "error", err.Error())
 		return nil
 	}
+	writes := []keyvalue.Write{{Key: elector.Key, Value: []byte(elector.Name), Lease: lease}}
+	if elector.HolderKey != "" {
+		writes = append(writes, keyvalue.Write{Key: elector.HolderKey, Value: elector.Holder, Lease: lease})
+	}
 	revision, err := elector.Store.Commit(ctx, keyvalue.Txn{
-		Conditions: []keyvalue.Condition{{Key: elector.Key}},
-		Writes:     []keyvalue.Write{{Key: elector.Key, Value: []byte(elector.Name), Lease: lease}},
+		Conditions: []keyvalue.Condition{{Key: elector.Key}}, Writes: writes,
 	})
 	if conflict := (*keyvalue.ConflictError)(nil); errors.As(err, &conflict) {
 		if item, ok := conflict.Current(elector.Key); ok {
@@ -192,15 +222,23 @@
 		return nil
 	}
 	elector.Observe(revision)
+	taken = true
 	return &Term{
 		Token: revision, Key: elector.Key, Lease: lease, TTL: ttl, StoreOutageGrace: elector.StoreOutageGrace,
 		Clock: elector.Clock, lastRenewal: sent,
 	}
 }
 
+func (elector *Elector) recordPhase(phase Phase, token keyvalue.Revision) {
+	if elector.RecordPhase != nil {
+		elector.RecordPhase(phase, token)
+	}
+}
+
 // holdTerm runs Lead and renews the lease of the term until the term ends. It returns the reason for the end.
 func (elector *Elector) holdTerm(ctx context.Context, term *Term) string {
 	elector.Logger.Info("term taken", "token", int64(term.Token), "ttl", term.TTL.String())
+	elector.recordPhase(Leading, term.Token)
 	bounded, cancel := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
@@ -212,6 +250,7 @@
 	reason := elector.renewUntilEnd(bounded, term)
 	cancel()
 	<-done
+	elector.recordPhase(Idle, 0)
 	elector.Logger.Info("term ended", "token", int64(term.Token), "reason", reason)
 	if reason != reasonPeerRevoked {
 		elector.revoke(term.Lease)
--- a/internal/term/term_test.go
+++ b/internal/term/term_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,10 +21,13 @@
 	mu        sync.Mutex
 	failing   error
 	lastLease keyvalue.LeaseID
-	expiry    time.Time
-	revision  keyvalue.Revision
-	heldLease keyvalue.LeaseID
-	electors  []*Elector
+	// committed are the writes of the last transaction. If loseResponse is set, the response to it is lost.
+	committed    []keyvalue.Write
+	loseResponse bool
+	expiry       time.Time
+	revision     keyvalue.Revision
+	heldLease    keyvalue.LeaseID
+	electors     []*Elector
 }
 
 const testTTL = 2 * time.Second
@@ -59,7 +64,11 @@
 	}
 	store.revision++
 	store.heldLease, store.expiry = txn.Writes[0].Lease, time.Now().Add(testTTL)
+	store.committed = txn.Writes
 	store.notifyElectors(store.revision)
+	if store.loseResponse {
+		return 0, keyvalue.ErrNoAnswer
+	}
 	return store.revision, nil
 }
 
@@ -301,3 +310,69 @@
 	}
 	return store.Store.KeepAlive(ctx, lease)
 }
+
+// TestPhases guards against a process that counts as idle while it may send orders, and against one that counts as active after
+// its term. A campaign whose response was lost ends without a term.
+func TestPhases(t *testing.T) {
+	tests := []struct {
+		name         string
+		loseResponse bool
+		phases       []Phase
+	}{
+		{"term", false, []Phase{Campaigning, Leading, Idle}},
+		{"lost response", true, []Phase{Campaigning, Idle}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{loseResponse: test.loseResponse}
+				only := newCandidate(store)
+				var phases []Phase
+				only.elector.RecordPhase = func(phase Phase, token keyvalue.Revision) {
+					phases = append(phases, phase)
+					if phase == Leading && token != 1 || phase != Leading && token != 0 {
+						t.Errorf("token %d in phase %s", token, phase)
+					}
+					if phase == Idle && only.currentTerm() != nil {
+						t.Error("the process counts as idle while Lead runs")
+					}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					_ = only.elector.Run(ctx)
+				}()
+				only.elector.Observe(0)
+				time.Sleep(retryInterval)
+				cancel()
+				<-done
+				if !slices.Equal(phases, test.phases) {
+					t.Errorf("phases %v, want %v", phases, test.phases)
+				}
+			})
+		})
+	}
+}
+
+// TestHolderIsWrittenWithTheTerm guards against a term whose holder others cannot identify, and against a document of it that
+// outlasts the term.
+func TestHolderIsWrittenWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{}
+		only := newCandidate(store)
+		only.elector.Name, only.elector.HolderKey, only.elector.Holder = "vm0", "holder", []byte("document")
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = only.elector.Run(ctx) }()
+		only.elector.Observe(0)
+		time.Sleep(time.Second)
+		lease := only.currentTerm().Lease
+		want := []keyvalue.Write{
+			{Key: "term", Value: []byte("vm0"), Lease: lease}, {Key: "holder", Value: []byte("document"), Lease: lease},
+		}
+		if !reflect.DeepEqual(store.committed, want) {
+			t.Errorf("written %v, want %v", store.committed, want)
+		}
+	})
+}
--- a/pkg/progress/progress.go
+++ b/pkg/progress/progress.go
@@ -67,8 +67,20 @@
 	// Address is where the worker took orders. A controller that no longer finds the worker's entry can ask there
 	// whether the incarnation still exists.
 	Address string `json:"address,omitempty"`
+	// Term is the term in which a task was placed there, and PriorLeases the time on the incarnation's clock by which the
+	// leases have ended that orders of earlier terms, or for an earlier incarnation, have granted. Both are 0 if an earlier
+	// version has written the record, and PriorLeases if the time is not known.
+	Term        TermToken          `json:"term,omitempty"`
+	PriorLeases WorkerMilliseconds `json:"prior_leases_ms,omitempty"`
 }
 
+// TermToken identifies a term, which is a period in which one process makes the scheduling decisions. A later term has a
+// higher one.
+type TermToken int64
+
+// WorkerMilliseconds is a time on a worker's own clock, which starts at 0 with each incarnation.
+type WorkerMilliseconds int64
+
 // Task records how far one task has come: its phase, latest run, worker, checkpoint and failures.
 type Task struct {
 	Phase Phase `json:"phase,omitempty"`
