--- a/internal/formerterm/history.go
+++ b/internal/formerterm/history.go
@@ -70,6 +70,8 @@
 	observedFrom    keyvalue.Revision
 	unobservedUntil time.Duration
 	synced          bool
+	// joined is set if a process held the term in the listing before which terms may be unobserved.
+	joined bool
 	// unpaired is the latest document of a holder whose term has not been observed yet.
 	unpaired pairing
 }
@@ -130,6 +132,7 @@
 		return
 	}
 	history.synced, history.unobservedUntil, history.observedFrom = true, history.Clock(), listed
+	history.joined = listed != 0
 	for i := range history.terms {
 		if history.terms[i].token != listed {
 			history.end(i)
@@ -229,6 +232,14 @@
 	return latest, true
 }
 
+// KnowsLess reports whether other processes probably know more of the former terms: this process has begun to observe them
+// within LeaseLimit, while a process held the term.
+func (history *History) KnowsLess() bool {
+	history.mu.Lock()
+	defer history.mu.Unlock()
+	return history.joined && history.Clock() < history.unobservedUntil+history.LeaseLimit
+}
+
 func (history *History) observed(token keyvalue.Revision) bool {
 	return history.synced && slices.ContainsFunc(history.terms, func(known observedTerm) bool { return known.token == token })
 }
