Store at once that a job has begun, also while its record is refused

It was not stored while the store refused the record of the job.

States are stored with the next transaction now, or in one of their own, one at a time, for which no start waits; those of held jobs without their records.

--- a/internal/control/begun.go
+++ b/internal/control/begun.go
@@ -13,10 +13,6 @@
 // by its answer to a start, or by a listing of a run or of the end of a run. The decision to start a task shows nothing: the
 // start may be lost, refused or never sent.
 
-// maxStatusDelay is how long the state running may wait to be stored together with other changes. A count of pending jobs
-// may be 2 s old in all, and the copies of the statuses follow the store within a second.
-const maxStatusDelay = 250 * time.Millisecond
-
 // noteBegun records that a worker has begun a task of a job, by the given evidence, and has the state of the job stored.
 func (loop *dispatcher) noteBegun(job *job, task workload.TaskID, evidence string) {
 	if !job.record.Begin() {
@@ -30,7 +26,7 @@
 // publish has the state running of a job stored, unless it is or an ended state is.
 func (loop *dispatcher) publish(job *job) {
 	if loop.jobs[job.ID] == job && job.awaitsPublication() {
-		loop.unpublished[job] = loop.clock()
+		loop.unpublished[job] = true
 	}
 }
 
@@ -40,17 +36,6 @@
 	return job.record.State == progress.Running && stored != progress.Running && !stored.Terminal()
 }
 
-// publishDue reports whether a state has waited for maxStatusDelay, so that it is stored even if nothing else is.
-func (loop *dispatcher) publishDue() bool {
-	now := loop.clock()
-	for _, since := range loop.unpublished {
-		if now-since >= maxStatusDelay {
-			return true
-		}
-	}
-	return false
-}
-
 // countJobsNotBegun updates the gauge of the jobs that have placed runs although no task of them is known to have begun.
 func (loop *dispatcher) countJobsNotBegun() {
 	count := int64(0)
--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -81,36 +82,38 @@
 	maxBatchBytes = 64 << 10
 )
 
-// flush stores the changed records and the states that are due, and other states beside them. It does nothing while
-// transactions of an earlier flush are pending, unless they are slow. Documents of jobs that are being stored are left for a
-// later flush, so that each has one writer at a time.
+// flush stores the changed records, and the states of jobs that have begun. It does nothing while transactions of an earlier
+// flush are pending, unless they are slow. States alone are stored in one transaction at a time. Documents of jobs that are
+// being stored are left for a later flush, so that each has one writer at a time.
 func (loop *dispatcher) flush() {
-	if len(loop.dirty) == 0 && !loop.publishDue() || loop.awaitsCommits() {
+	if len(loop.dirty) == 0 && len(loop.unpublished) == 0 || loop.awaitsCommits() {
 		return
 	}
 	var current batch
 	for _, job := range loop.dirty {
-		if loop.storable(job) {
+		if !job.removing && !job.writing && !job.held(loop.clock()) {
 			loop.addTo(&current, job, loop.addRecord)
 		}
 	}
+	if len(current.versions) > 0 || !loop.storesStates() {
+		loop.addStates(&current)
+	}
+	if len(current.versions) > 0 {
+		loop.commit(current)
+	}
+}
+
+// addStates adds the states that are not stored yet. That of a held job is stored without its record.
+func (loop *dispatcher) addStates(current *batch) {
 	for job := range loop.unpublished {
 		if !job.awaitsPublication() {
 			delete(loop.unpublished, job)
 			continue
 		}
-		if loop.storable(job) {
-			loop.addTo(&current, job, loop.addStatus)
+		if !job.removing && !job.writing {
+			loop.addTo(current, job, loop.addStatus)
 		}
 	}
-	if len(current.versions) > 0 {
-		loop.commit(current)
-	}
-}
-
-// storable reports whether a transaction may take documents of a job now.
-func (loop *dispatcher) storable(job *job) bool {
-	return !job.removing && !job.writing && !job.held(loop.clock())
 }
 
 // addTo adds documents of a job to the current batch. It commits a batch that is full, and a job alone whose record the
@@ -132,15 +135,29 @@
 	add(current, job)
 }
 
+// pendingCommit is a transaction without a known outcome.
+type pendingCommit struct {
+	sent time.Duration
+	// statesOnly is set if it stores no record, so that no start waits for it.
+	statesOnly bool
+}
+
 // awaitsCommits reports whether transactions are pending that a flush has to wait for.
 func (loop *dispatcher) awaitsCommits() bool {
+	return loop.anyRecentCommit(false) || len(loop.pendingCommits) >= maxPendingCommits
+}
+
+// storesStates reports whether a transaction is pending that stores states alone, and is not slow.
+func (loop *dispatcher) storesStates() bool { return loop.anyRecentCommit(true) }
+
+func (loop *dispatcher) anyRecentCommit(statesOnly bool) bool {
 	now := loop.clock()
-	for _, sent := range loop.pendingCommits {
-		if now-sent < commitPatience {
+	for _, pending := range loop.pendingCommits {
+		if pending.statesOnly == statesOnly && now-pending.sent < commitPatience {
 			return true
 		}
 	}
-	return len(loop.pendingCommits) >= maxPendingCommits
+	return false
 }
 
 func (loop *dispatcher) newBatch() batch {
@@ -212,7 +229,8 @@
 }
 
 func (loop *dispatcher) commit(batch batch) {
-	loop.pendingCommits[batch.number] = loop.clock()
+	statesOnly := !slices.ContainsFunc(batch.versions, func(version version) bool { return version.record != nil })
+	loop.pendingCommits[batch.number] = pendingCommit{sent: loop.clock(), statesOnly: statesOnly}
 	loop.group.Go(func() error { return loop.store(batch) })
 }
 
@@ -310,11 +328,9 @@
 	job := refused.job
 	job.writing = false
 	job.onStored = append(refused.onStored, job.onStored...)
-	switch {
-	case loop.jobs[job.ID] != job:
-	case refused.record != nil:
+	if refused.record != nil && loop.jobs[job.ID] == job {
 		loop.markDirty(job)
-	default:
-		loop.publish(job)
 	}
+	// If the record is refused, its job is held, but the state is stored.
+	loop.publish(job)
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -167,15 +167,14 @@
 	nextFactors  time.Duration
 	interference interferenceState
 	headroom     headroom
-	// pendingCommits has the times at which the transactions without a known outcome were sent, by the numbers of their
-	// batches.
-	pendingCommits map[int64]time.Duration
+	// pendingCommits are the transactions without a known outcome, by the numbers of their batches.
+	pendingCommits map[int64]pendingCommit
 	commitCount    int64
 	writeCount     int64
 	// dirty are the jobs whose records differ from the stored ones.
 	dirty map[fleet.JobID]*job
-	// unpublished has the jobs whose state running is not stored yet, with the times since which it is known.
-	unpublished map[*job]time.Duration
+	// unpublished has the jobs whose state running is not stored yet.
+	unpublished map[*job]bool
 	planNeeded  bool
 	// removingTombstones is set while expired tombstones are being deleted.
 	removingTombstones bool
@@ -192,7 +191,7 @@
 	return &dispatcher{
 		Controller: controller, ctx: ctx, term: held, group: group, started: controller.Clock(),
 		events: make(chan func(*dispatcher), eventQueueSize), jobs: map[fleet.JobID]*job{},
-		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{}, unpublished: map[*job]time.Duration{},
+		openJobs: map[fleet.JobID]*job{}, dirty: map[fleet.JobID]*job{}, unpublished: map[*job]bool{},
 		pendingStatuses: map[fleet.JobID]ledger.StatusEntry{}, pendingRecords: map[fleet.JobID]keyvalue.Item{},
 		invalidRecords: map[fleet.JobID]bool{}, workers: map[fleet.WorkerID]*worker{},
 		claims: map[workload.TaskID]*claim{}, withheldSince: map[workload.TaskID]time.Duration{}, contested: map[fleet.WorkerID]WorkerEntry{},
@@ -208,7 +207,7 @@
 		invalidEvacuations: keyvalue.NewInvalidItems(controller.Logger, hclog.Warn,
 			"invalid evacuation request", "evacuation request is valid again"),
 		uneven:         map[fleet.ServiceName]bool{},
-		pendingCommits: map[int64]time.Duration{}, interference: newInterferenceState(controller.Interference),
+		pendingCommits: map[int64]pendingCommit{}, interference: newInterferenceState(controller.Interference),
 		advice: advice{permits: map[workload.StepID]map[fleet.WorkerID]permit{}},
 	}
 }
