Correct the stored states that earlier versions leave

A new controller read a record that an earlier version had marked as running with the first placement as that of a waiting job, but left the state in the store until the record changed. If an earlier version took the term in between and took the state back, the job was shown as queued until its end.

--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -107,6 +107,11 @@
 	loop.jobs[accepted.ID], loop.openJobs[accepted.ID] = added, added
 	added.record, added.recordRevision = &record, item.Revision
 	added.record.Restore(added.status.State)
+	loop.publish(added)
+	if record.State == progress.Queued && added.status.State == progress.Running {
+		// An earlier version has stored that state with the first placement.
+		loop.markDirty(added)
+	}
 	loop.restoreRuns(added)
 	if !added.open() {
 		loop.stopJob(added)
--- a/pkg/progress/progress_test.go
+++ b/pkg/progress/progress_test.go
@@ -233,6 +233,7 @@
 		{"begun, and the record stored", Running, Running, true, Running},
 		{"begun, and only the state stored", Queued, Running, false, Running},
 		{"begun, and only the record stored", Running, Queued, true, Running},
+		{"begun under an earlier version that took over", Queued, Queued, true, Running},
 		{"done", Completed, Running, true, Completed},
 		{"cancelled", Queued, Cancelled, false, Queued},
 	}
--- a/pkg/progress/record.go
+++ b/pkg/progress/record.go
@@ -45,13 +45,14 @@
 
 // Restore makes a stored record agree with the stored state of its job. The state Running may have been stored without the
 // record, which then follows it. Earlier versions stored Running with the first placement: then the record has that state
-// as well, but is not marked as begun, and the job is taken for a waiting one.
+// as well, but is not marked as begun, and the job is taken for a waiting one. They may also have taken the state of a job
+// back that has begun.
 func (record *Record) Restore(stored State) {
 	switch {
 	case record.State == Running && !record.Begun:
 		record.State = Queued
-	case record.State == Queued && stored == Running:
-		record.Begin()
+	case record.State == Queued && (stored == Running || record.Begun):
+		record.Begun, record.State = true, Running
 	}
 }
 
