Bound the age of states of jobs, and the calls that bring the statuses up to date

Found by a review.

A state is read from the store if the copy is older than 4 s. An answer as large as a page of a listing is not taken for complete.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,9 @@
 	// maxStatusesAge is the age from which on the copy of the statuses is brought up to date before a query is answered. A
 	// count of pending jobs may be 2 s old when the caller receives it.
 	maxStatusesAge = 2*time.Second - responseReserve
+	// maxStateAge is the age from which on the state of a job is not taken from the copy, if the store can be read. It is
+	// beyond the age that the copy has while the store is slow.
+	maxStateAge = 4 * time.Second
 	// maxUnloggedAge is the age of the configuration from which on each request is logged.
 	maxUnloggedAge = 2 * time.Second
 )
--- a/internal/gateway/query.go
+++ b/internal/gateway/query.go
@@ -40,10 +40,7 @@
 		metrics.Observe(gateway.Metrics, "pending_statuses_age_milliseconds", admitted.statusesAge)
 		return answer, gateway.recordOutcome(callPending, request, admitted, started, err)
 	}
-	if known, ok := gateway.Statuses.Get(admitted.job); ok && !known.State.Terminal() {
-		gateway.refreshStatuses(ctx)
-	}
-	entry, err := gateway.status(ctx, admitted)
+	entry, err := gateway.currentStatus(ctx, admitted)
 	return Answer{State: entry.State}, gateway.recordOutcome(callState, request, admitted, started, err)
 }
 
@@ -53,7 +50,7 @@
 		return Answer{}, fault.New(fault.Starting, "the job statuses have not been read yet").
 			WithRetryAfter(storeRetryAfter)
 	}
-	gateway.refreshStatuses(ctx)
+	gateway.refreshStatuses(ctx, maxStatusesAge)
 	if age := gateway.StatusSource.Age(); age > maxStatusesAge {
 		return Answer{}, fault.New(fault.StoreUnavailable, "the store has not confirmed the job statuses for %s",
 			age.Round(time.Millisecond)).WithRetryAfter(storeRetryAfter)
@@ -61,14 +58,33 @@
 	return Answer{Pending: gateway.Statuses.Pending(admitted.profile.Name), IsCount: true}, nil
 }
 
-// refreshStatuses brings an old copy of the statuses up to date, unless the store cannot be reached.
-func (gateway *Gateway) refreshStatuses(ctx context.Context) {
-	if gateway.StatusSource.Age() > maxStatusesAge && !gateway.StoreLost() {
-		// If this fails, the copy stays old, which the caller finds by its age.
+// refreshStatuses brings a copy of the statuses up to date that is older than maxAge, unless the store cannot be reached. If
+// this fails, the copy stays old.
+func (gateway *Gateway) refreshStatuses(ctx context.Context, maxAge time.Duration) {
+	if gateway.StatusSource.Age() > maxAge && !gateway.StoreLost() {
 		_ = gateway.StatusSource.Refresh(ctx)
 	}
 }
 
+// currentStatus returns the status of the job of an organisation and profile. If the copy of the statuses is old and the job
+// has not ended according to it, the status is read from the store. The known one is returned if that fails.
+func (gateway *Gateway) currentStatus(ctx context.Context, admitted admission) (ledger.StatusEntry, error) {
+	known, err := gateway.status(ctx, admitted)
+	if err != nil || known.State.Terminal() || gateway.StatusSource.Age() <= maxStateAge {
+		return known, err
+	}
+	refreshing, cancel := context.WithTimeout(ctx, callTimeout/2)
+	defer cancel()
+	gateway.refreshStatuses(refreshing, maxStateAge)
+	if gateway.StatusSource.Age() > maxStateAge && !gateway.StoreLost() {
+		// Only the watch of the statuses may be lost.
+		reading, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_, _ = gateway.readStatus(reading, admitted.job)
+	}
+	return gateway.status(ctx, admitted)
+}
+
 // status returns the status of the job of an organisation and profile.
 func (gateway *Gateway) status(ctx context.Context, admitted admission) (ledger.StatusEntry, error) {
 	entry, err := gateway.storedStatus(ctx, admitted.job)
--- a/internal/keyvalue/mirror.go
+++ b/internal/keyvalue/mirror.go
@@ -60,9 +60,31 @@
 	if after == 0 {
 		return nil, 0, errNotListed
 	}
-	sentAt := mirror.now()
-	changes, _, err := mirror.Store.Watch(ctx, mirror.Prefix, after, 0)
-	return changes, sentAt, err
+	var all []Change
+	for {
+		sentAt := mirror.now()
+		changes, next, err := mirror.Store.Watch(ctx, mirror.Prefix, after, 0)
+		all, after = append(all, changes...), max(next, after)
+		if err != nil || !mayBePartial(changes) {
+			return all, sentAt, err
+		}
+	}
+}
+
+const (
+	// minPartialChanges and minPartialBytes are the size from which on an answer to a watch may lack later changes. The pages
+	// of a listing have about 500 items or a megabyte; whether the answers to a watch have such a limit is not known.
+	minPartialChanges = 400
+	minPartialBytes   = 700 << 10
+)
+
+// mayBePartial reports whether an answer with these changes may lack later ones.
+func mayBePartial(changes []Change) bool {
+	size := 0
+	for _, change := range changes {
+		size += len(change.Key) + len(change.Value)
+	}
+	return len(changes) >= minPartialChanges || size >= minPartialBytes
 }
 
 // Run lists and watches the prefix until ctx ends.
@@ -122,8 +144,10 @@
 				wait = 0
 			}
 			mirror.after.Store(int64(max(next, after)))
-			// Without changes, the store held the call for the whole wait.
-			mirror.confirm(min(sentAt+wait, mirror.now()))
+			if !mayBePartial(changes) {
+				// Without changes, the store held the call for the whole wait.
+				mirror.confirm(min(sentAt+wait, mirror.now()))
+			}
 			return max(next, after), nil
 		}
 		if errors.Is(err, ErrCompacted) {
