Catch signals before the settings are read

A process that got SIGHUP while it started ended by it, and one that got SIGTERM did not exit with 0: the signals were caught only once the settings had been read. They are caught first now, before the settings are read. What remains is the time from the start of the program to main.

--- a/cmd/quetzalstalld/main.go
+++ b/cmd/quetzalstalld/main.go
@@ -37,6 +37,11 @@
 	if *explained != "" {
 		return explain(*explained, request)
 	}
+	// The signals are caught before the settings are read: until then they would end the process abruptly.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	settings, err := platform.LoadSettings(*path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "quetzalstalld:", err)
@@ -57,9 +62,7 @@
 	debug.SetMemoryLimit(settings.MemoryMiB << 20 / 4 * 3)
 	process := platform.NewProcess(settings)
 	process.Logger = logger
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	go checkSettingsOnHangup(*path, logger)
+	go checkSettingsOnHangup(hangups, *path, logger)
 	if err := process.Run(ctx); err != nil {
 		logger.Error("ended", "error", err.Error())
 		return 1
@@ -67,12 +70,10 @@
 	return 0
 }
 
-// checkSettingsOnHangup checks the settings file at each SIGHUP and logs the result. Addresses cannot change while the
-// process runs, so a changed file takes effect only at the next start.
-func checkSettingsOnHangup(path string, logger hclog.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+// checkSettingsOnHangup checks the settings file at each SIGHUP, which hangups delivers, and logs the result. Addresses
+// cannot change while the process runs, so a changed file takes effect only at the next start.
+func checkSettingsOnHangup(hangups <-chan os.Signal, path string, logger hclog.Logger) {
+	for range hangups {
 		if _, err := platform.LoadSettings(path); err != nil {
 			logger.Error("settings file is invalid", "error", err.Error())
 			continue
