Recognize the tokens of the present controller in the checks of pending jobs

The checks took the token of an order for the revision of the term. The tokens of a term begin with 1,024 times that, so no start counted as shown to the controller: counts that are too high, and jobs that stay queued, were excused except when the faults were over.

--- a/internal/control/entries.go
+++ b/internal/control/entries.go
@@ -12,6 +12,9 @@
 // worker's token by one.
 const tokenStep = 1024
 
+// FirstToken returns the lowest token of a term. Those of earlier terms are lower.
+func FirstToken(term keyvalue.Revision) Token { return Token(term) * tokenStep }
+
 // observeWorkers applies changed entries of workers. If complete is set, the changes contain all entries in the store,
 // and workers without an entry are marked as not listed.
 func (loop *dispatcher) observeWorkers(changes []keyvalue.Change, complete bool, readAt time.Time) {
@@ -219,7 +222,7 @@
 // connectFirst connects a worker that has no link. A worker that was removed in this term refuses tokens below those that
 // it has received.
 func (loop *dispatcher) connectFirst(worker *worker, entry WorkerEntry) {
-	token, leases := Token(loop.term.Token)*tokenStep, loop.firstFormerLeases()
+	token, leases := FirstToken(loop.term.Token), loop.firstFormerLeases()
 	if former, ok := loop.formerLinks[entry.ID]; ok {
 		token, leases = former.token+1, former.leases
 	}
