--- a/internal/control/dump.go
+++ b/internal/control/dump.go
@@ -36,7 +36,7 @@
 	Profile      fleet.ProfileName    `json:"profile"`
 	Priority     workload.Priority    `json:"priority"`
 	State        progress.State       `json:"state"`
-	// Begun is set once a task may have begun on a worker.
+	// Begun is set once a task is known to have begun on a worker.
 	Begun bool  `json:"begun"`
 	AgeMS int64 `json:"age_ms"`
 	// Tasks counts the tasks in each phase.
@@ -57,7 +57,8 @@
 	// TimeFactor is how long work takes there in the long run, relative to its declared run time; 0 if that is not known.
 	TimeFactor float64            `json:"time_factor,omitempty"`
 	Free       workload.Resources `json:"free"`
-	Runs       []string           `json:"runs"`
+	// Runs are the runs that are placed there, whether they have begun or not.
+	Runs []string `json:"runs"`
 	// Stopping are those of the runs that are to be stopped. Unexpected are the runs that the worker lists although
 	// they are not placed there; it gets no other work until they have ended.
 	Stopping   []string `json:"stopping"`
--- a/internal/control/runs.go
+++ b/internal/control/runs.go
@@ -286,20 +286,24 @@
 	if worker == nil || worker.runs[placed.task] != placed {
 		return
 	}
-	err := outcome.err
-	if outcome.attempts == 0 {
+	switch {
+	case outcome.attempts == 0:
 		loop.endUnstarted(placed, "not started")
-		return
-	}
-	if err == nil {
+	case outcome.err == nil:
 		placed.listedAfter = loop.clock()
 		placed.unit.confirm(loop.clock())
 		placed.confirmStart(outcome, worker.link.token, loop.clock())
 		loop.noteSeen(placed)
 		worker.link.notify()
-		return
+	default:
+		loop.handleUnconfirmedStart(worker, placed, outcome)
 	}
-	refusal := refusalOf(err)
+}
+
+// handleUnconfirmedStart ends a run that certainly does not exist on its worker, and stops one that may exist. It keeps new
+// tasks off the worker for a time, according to the refusal.
+func (loop *dispatcher) handleUnconfirmedStart(worker *worker, placed *run, outcome startOutcome) {
+	err, refusal := outcome.err, refusalOf(outcome.err)
 	loop.Logger.Warn("start not confirmed", "task", placed.task.String(), "run", int(placed.number),
 		"worker", string(worker.entry.ID), "attempts", outcome.attempts, "unanswered", outcome.unanswered,
 		"error", err.Error())
