Count the whole progress as lost of jobs that ignored a checkpoint

A job that did not save a checkpoint in its grace period was stopped and lost its progress, and was then taken again for one that loses six seconds, so that it was chosen again. Their loss is the time of their attempt now, as for jobs without checkpoints. Moves that empty workers need this too: they would meet the same jobs again and again.

--- a/pkg/scheduler/eviction.go
+++ b/pkg/scheduler/eviction.go
@@ -87,6 +87,7 @@
 		job.evictionAt = now
 		if job.eviction == evictionCheckpoint {
 			job.eviction = evictionStop
+			job.ignoredCheckpoint = job.ignoredCheckpoint || job.phase == phaseRunning
 			core.addDecision(Evict{job.spec.Key, job.attempt, EvictStop, "the grace period for the checkpoint is over"})
 			continue
 		}
--- a/pkg/scheduler/job_state.go
+++ b/pkg/scheduler/job_state.go
@@ -74,6 +74,8 @@
 	evictionAt time.Time
 	// moving is true while the gang is being evicted to continue outside its evacuated data centre.
 	moving bool
+	// ignoredCheckpoint is set when a running gang of the job did not save a checkpoint in its grace period.
+	ignoredCheckpoint bool
 	// skipGrace is set when a gang that was evicted for the job's claim ignored its stop. If the job is urgent, the
 	// gangs that are evicted for it from then until it is placed are stopped without a grace period.
 	skipGrace bool
--- a/pkg/scheduler/reclaim.go
+++ b/pkg/scheduler/reclaim.go
@@ -15,10 +15,11 @@
 	missedCheckpointCost = 10 * time.Minute
 )
 
-// loss estimates the accelerator-seconds of work that are lost if a gang is evicted.
+// loss estimates the accelerator-seconds of work that are lost if a gang is evicted. A gang whose job has ignored a
+// checkpoint request before is expected to ignore the next one.
 func (core *Core) loss(now time.Time, job *jobState) float64 {
 	perAccelerator := now.Sub(job.began)
-	if job.spec.Profile.Checkpoint {
+	if job.spec.Profile.Checkpoint && !job.ignoredCheckpoint {
 		perAccelerator = checkpointCost
 		if !job.spec.Profile.Idempotent {
 			perAccelerator += missedCheckpointCost
