Empty workers whose small gangs fit on workers that stay in use

Placement filled the fullest workers, but nothing mended the holes that the ends of small gangs left.

A search at most once a second now moves all gangs of a worker whose gangs can checkpoint, may run twice and have one member, if they fit on fuller workers or on workers with gangs that stay, and if the gain, the accelerators of the worker for as long as its gangs have run, exceeds the loss. The moves lose at most 0.5% of the accelerator time in use. The destination keeps the resources, so that a moved job does not queue behind others; a job that reclaims a guarantee takes them. A gang that does not save its checkpoint in time continues instead of being stopped, and is not asked again.

TestHalfUsedWorkersAreEmptied, TestMoveContinuesOnItsDestination, TestConsolidationLosesNoWork and TestReclaimTakesKeptAccelerators failed before. TestCompactionFreesWorkersByCheckpoint uses gangs of two members now, which only compaction moves; its expectations are the same.

--- a/pkg/scheduler/claim.go
+++ b/pkg/scheduler/claim.go
@@ -77,8 +77,8 @@
 
 // dropOutrankedClaims drops the claims that must yield to a job that reclaims cells of its organisation. These are
 // claims of other organisations that borrow from the cells and, if the job is urgent, claims of less urgent jobs of its
-// organisation. The jobs of these claims do not run yet, and the gangs evicted for them are about to end. It reports
-// whether it dropped any claims.
+// organisation. The jobs of these claims do not run yet, and the gangs evicted for them are about to end. It also frees
+// the resources that are kept for moved jobs. It reports whether it dropped or freed any.
 func (core *Core) dropOutrankedClaims(now time.Time, job *jobState) bool {
 	var outranked []*jobState
 	for _, claim := range core.claims {
@@ -93,7 +93,7 @@
 		core.dropClaim(claim)
 		core.requeue(now, claim)
 	}
-	return len(outranked) > 0
+	return core.dropDestinations() || len(outranked) > 0
 }
 
 // borrowsFrom reports whether, on a worker with cells of the owner, the job's organisation uses more than its own cells
--- a/pkg/scheduler/compaction.go
+++ b/pkg/scheduler/compaction.go
@@ -44,27 +44,35 @@
 	}, passCompaction)
 }
 
-// accrueLossBudget adds to lossBudget and fairLossBudget their shares of the accelerator time used since the last call.
-func (core *Core) accrueLossBudget(now time.Time) {
-	held := 0.0
-	for _, owner := range core.organisations {
-		held += float64(owner.account.inUse)
-	}
+// accrueLossBudgets adds to each loss budget its share of the accelerator time used since the last call.
+func (core *Core) accrueLossBudgets(now time.Time) {
+	held := core.acceleratorsInUse()
 	if !core.budgetUpdated.IsZero() {
 		elapsed := now.Sub(core.budgetUpdated).Seconds()
-		core.lossBudget += core.settings.LossShare * held * elapsed
-		core.lossBudget = min(core.lossBudget, core.settings.LossShare*held*budgetWindow.Seconds())
-		core.fairLossBudget += core.settings.FairLossShare * held * elapsed
-		core.fairLossBudget = min(core.fairLossBudget, core.settings.FairLossShare*held*budgetWindow.Seconds())
+		accrue := func(budget *float64, share float64) {
+			*budget = min(*budget+share*held*elapsed, share*held*budgetWindow.Seconds())
+		}
+		accrue(&core.lossBudget, core.settings.LossShare)
+		accrue(&core.fairLossBudget, core.settings.FairLossShare)
+		accrue(&core.consolidation.budget, core.settings.ConsolidationLossShare)
 	}
 	core.budgetUpdated = now
 }
 
+// acceleratorsInUse returns the number of accelerators that attempts hold.
+func (core *Core) acceleratorsInUse() float64 {
+	held := 0.0
+	for _, owner := range core.organisations {
+		held += float64(owner.account.inUse)
+	}
+	return held
+}
+
 // overservedFactor is the factor by which the attained service of one organisation, divided by its guarantee, must
 // exceed that of another before work of the first is evicted in favour of the second.
 const overservedFactor = 2
 
-// budgetWindow limits lossBudget and fairLossBudget each to the amount that accrues in this time.
+// budgetWindow limits each loss budget to the amount that accrues in this time.
 const budgetWindow = time.Hour
 
 // evictFor frees accelerators for a waiting job by moving preemptible work. It prefers work of organisations with much
--- a/pkg/scheduler/core.go
+++ b/pkg/scheduler/core.go
@@ -62,11 +62,12 @@
 	// fairLossBudget is the separate budget for evicting gangs of organisations that have much more attained service
 	// than the organisation of the waiting job.
 	fairLossBudget float64
-	// budgetUpdated is when lossBudget and fairLossBudget last grew.
+	// budgetUpdated is when the loss budgets last grew.
 	budgetUpdated  time.Time
 	lastCompaction time.Time
 	nextCompaction time.Time
 	evacuation     evacuationState
+	consolidation  consolidation
 	// decisions collects what the next call of Decide returns.
 	decisions []Decision
 	history   history
@@ -134,7 +135,7 @@
 // Decide returns the actions that are due now. Afterwards the core's state assumes that all returned actions are being
 // carried out.
 func (core *Core) Decide(now time.Time) []Decision {
-	core.accrueLossBudget(now)
+	core.accrueLossBudgets(now)
 	core.readmit(now)
 	core.returnWorkers(now)
 	core.bindCells(now)
@@ -144,8 +145,10 @@
 	core.settleClaims(now)
 	core.dropUnusableReservations()
 	if core.ready() {
+		core.startMoved(now)
 		core.schedule(now)
 		core.moveEvacuated(now)
+		core.consolidate(now)
 	}
 	decided := core.decisions
 	core.decisions = nil
@@ -181,5 +184,8 @@
 	if at := core.evacuation.nextWake(); !at.IsZero() {
 		earliest(at)
 	}
+	if at := core.consolidation.next; !at.IsZero() {
+		earliest(at)
+	}
 	return wake
 }
--- a/pkg/scheduler/eviction.go
+++ b/pkg/scheduler/eviction.go
@@ -54,7 +54,7 @@
 		core.releaseEvicting(job)
 	}
 	job.eviction = evictionNone
-	job.moving = false
+	job.moving, job.consolidated = false, false
 	core.evicting = slices.DeleteFunc(core.evicting, func(other *jobState) bool { return other == job })
 }
 
@@ -76,14 +76,20 @@
 	}
 }
 
-// escalate stops the gangs whose grace period for a checkpoint is over. Gangs that have not confirmed a stop within
-// Settings.StopConfirmation are no longer expected to free their accelerators.
+// escalate stops the gangs whose grace period for a checkpoint is over, unless they may continue. Gangs that have not
+// confirmed a stop within Settings.StopConfirmation are no longer expected to free their accelerators.
 func (core *Core) escalate(now time.Time) {
-	for _, job := range core.evicting {
+	for _, job := range slices.Clone(core.evicting) {
 		at, ok := core.nextEvictionStep(job)
 		if !ok || at.After(now) {
 			continue
 		}
+		if job.mayContinue() {
+			job.ignoredCheckpoint = true
+			core.endEviction(job)
+			core.dropDestination(job)
+			continue
+		}
 		job.evictionAt = now
 		if job.eviction == evictionCheckpoint {
 			job.eviction = evictionStop
--- a/pkg/scheduler/index.go
+++ b/pkg/scheduler/index.go
@@ -16,6 +16,10 @@
 	viewOpen
 	// viewBind counts the accelerators that a further cell may cover.
 	viewBind
+	// viewMovable counts the free accelerators of the workers that hold gangs, none of which is settled.
+	viewMovable
+	// viewSettledFree counts the free accelerators of the workers that hold settled gangs.
+	viewSettledFree
 	views
 )
 
@@ -23,6 +27,15 @@
 // accelerators that it has left by the view.
 const absent = -1
 
+// absentKeys returns the keys of a worker that is in the index of no view.
+func absentKeys() [views]int {
+	var keys [views]int
+	for index := range keys {
+		keys[index] = absent
+	}
+	return keys
+}
+
 // bitset is a set of slots, the indexes of workers in zone.workers.
 type bitset []uint64
 
@@ -143,10 +156,16 @@
 	if machine.zone == nil {
 		return
 	}
-	keys := [views]int{absent, absent, absent}
+	keys := absentKeys()
 	if machine.usable() {
 		keys[viewFree] = int(max(machine.free[0], 0))
 		keys[viewOpen] = int(max(machine.open[0], 0))
+		switch {
+		case machine.settledGangs > 0:
+			keys[viewSettledFree] = keys[viewFree]
+		case len(machine.gangs) > 0:
+			keys[viewMovable] = keys[viewFree]
+		}
 	}
 	if machine.mayHoldCells() {
 		keys[viewBind] = int(max(machine.bindable[0], 0))
--- a/pkg/scheduler/inventory.go
+++ b/pkg/scheduler/inventory.go
@@ -7,7 +7,7 @@
 	if known, ok := core.workers[id]; ok {
 		return known
 	}
-	fresh := &worker{Worker: fleet.Worker{ID: id}, keys: [views]int{absent, absent, absent}}
+	fresh := &worker{Worker: fleet.Worker{ID: id}, keys: absentKeys()}
 	core.workers[id] = fresh
 	return fresh
 }
--- a/pkg/scheduler/job_state.go
+++ b/pkg/scheduler/job_state.go
@@ -74,6 +74,10 @@
 	evictionAt time.Time
 	// moving is true while the gang is being evicted to continue outside its evacuated data centre.
 	moving bool
+	// consolidated is true while the gang is being evicted only to empty its worker.
+	consolidated bool
+	// destination is the worker that keeps resources for the job after such an eviction; nil if there is none.
+	destination *worker
 	// ignoredCheckpoint is set when a running gang of the job did not save a checkpoint in its grace period.
 	ignoredCheckpoint bool
 	// skipGrace is set when a gang that was evicted for the job's claim ignored its stop. If the job is urgent, the
@@ -122,6 +126,12 @@
 // urgent reports whether the job may evict less urgent work of its own organisation.
 func (job *jobState) urgent() bool { return job.spec.Profile.Urgency == profile.UrgencyUrgent }
 
+// settled reports whether the job's gang is never moved to empty a worker, since a move would lose its progress or could
+// end the job.
+func (job *jobState) settled() bool {
+	return !job.spec.Profile.Checkpoint || !job.spec.Profile.Idempotent
+}
+
 // holds reports whether accelerators are assigned to the job, by a claim or for a gang.
 func (job *jobState) holds() bool { return job.phase != phaseWaiting }
 
@@ -168,6 +178,7 @@
 // allocate assigns accelerators to a job: as a claim if claim is set, otherwise for its gang.
 func (core *Core) allocate(job *jobState, holdings []holding, claim bool) {
 	job.holdings = holdings
+	core.consolidation.pending = true
 	for _, holding := range holdings {
 		amount := job.perMember.times(holding.members)
 		machine := holding.worker
@@ -176,6 +187,9 @@
 		if !job.preemptible {
 			share.pinned = share.pinned.plus(amount)
 		}
+		if job.settled() {
+			machine.settledGangs++
+		}
 		if claim {
 			machine.claimed = machine.claimed.plus(amount)
 		} else {
@@ -192,6 +206,7 @@
 	claim := job.phase == phaseClaiming
 	core.endEviction(job)
 	core.vacate(job)
+	core.consolidation.pending = true
 	for _, holding := range job.holdings {
 		amount := job.perMember.times(holding.members)
 		machine := holding.worker
@@ -200,6 +215,9 @@
 		if !job.preemptible {
 			share.pinned = share.pinned.minus(amount)
 		}
+		if job.settled() {
+			machine.settledGangs--
+		}
 		if claim {
 			machine.claimed = machine.claimed.minus(amount)
 		} else {
@@ -225,6 +243,7 @@
 		machine := holding.worker
 		machine.claimed = machine.claimed.minus(job.perMember.times(holding.members))
 		machine.gangs = append(machine.gangs, job)
+		core.refresh(machine)
 		core.steps++
 	}
 }
--- a/pkg/scheduler/lifecycle.go
+++ b/pkg/scheduler/lifecycle.go
@@ -13,6 +13,7 @@
 // finish reports the final result of a job to which no accelerators are assigned, and drops the job's state.
 func (core *Core) finish(job *jobState, verdict Verdict, kind fault.Kind, reason string) {
 	delete(core.jobs, job.spec.Key)
+	core.dropDestination(job)
 	core.addDecision(Finish{Key: job.spec.Key, Verdict: verdict, Kind: kind, Reason: reason})
 	if verdict == VerdictNotRun {
 		core.history.refused(job.spec.Key, reason)
--- a/pkg/scheduler/settings.go
+++ b/pkg/scheduler/settings.go
@@ -43,10 +43,12 @@
 	// FairLossShare is the further share that these evictions may lose if they only evict gangs of organisations that
 	// have much more attained service than the organisation of the waiting job.
 	FairLossShare float64 `json:"fair_loss_share"`
-	// GainFactor multiplies the estimated waiting time that an eviction saves, before it is compared with the work that
-	// the eviction loses.
+	// ConsolidationLossShare is the further share that may be lost by moving gangs to empty workers.
+	ConsolidationLossShare float64 `json:"consolidation_loss_share"`
+	// GainFactor multiplies the estimated gain of an eviction before it is compared with the work that the eviction
+	// loses.
 	GainFactor float64 `json:"gain_factor"`
-	// MinRun is the minimum time for which a gang runs before it may be evicted to free accelerators for a waiting job.
+	// MinRun is the minimum time for which a gang runs before it may be evicted for a waiting job or to empty a worker.
 	// Reclaims of guarantees do not wait for it.
 	MinRun time.Duration `json:"min_run"`
 	// AvoidTime is the time for which a waiting job avoids the workers on which it failed.
@@ -69,20 +71,21 @@
 			fleet.AcceleratorTime(2 * time.Hour),
 			fleet.AcceleratorTime(24 * time.Hour),
 		},
-		FailuresOfJob:      3,
-		FailuresOfWorker:   3,
-		QuarantineTime:     5 * time.Minute,
-		QuarantineShare:    0.1,
-		MaxWaiting:         200_000,
-		RetryAfter:         5 * time.Second,
-		CompactionInterval: time.Second,
-		LossShare:          0.002,
-		FairLossShare:      0.003,
-		GainFactor:         1,
-		StarvationTime:     10 * time.Minute,
-		AvoidTime:          30 * time.Second,
-		MinRun:             20 * time.Second,
-		History:            64,
+		FailuresOfJob:          3,
+		FailuresOfWorker:       3,
+		QuarantineTime:         5 * time.Minute,
+		QuarantineShare:        0.1,
+		MaxWaiting:             200_000,
+		RetryAfter:             5 * time.Second,
+		CompactionInterval:     time.Second,
+		LossShare:              0.002,
+		FairLossShare:          0.003,
+		ConsolidationLossShare: 0.005,
+		GainFactor:             1,
+		StarvationTime:         10 * time.Minute,
+		AvoidTime:              30 * time.Second,
+		MinRun:                 20 * time.Second,
+		History:                64,
 	}
 }
 
@@ -102,6 +105,7 @@
 	setDefault(&settings.CompactionInterval, defaults.CompactionInterval)
 	setDefault(&settings.LossShare, defaults.LossShare)
 	setDefault(&settings.FairLossShare, defaults.FairLossShare)
+	setDefault(&settings.ConsolidationLossShare, defaults.ConsolidationLossShare)
 	setDefault(&settings.GainFactor, defaults.GainFactor)
 	setDefault(&settings.MinRun, defaults.MinRun)
 	setDefault(&settings.AvoidTime, defaults.AvoidTime)
--- a/pkg/scheduler/worker.go
+++ b/pkg/scheduler/worker.go
@@ -38,12 +38,16 @@
 	health  health
 	shares  []share
 	gangs   []*jobState
-	cells   []*cell
+	// settledGangs counts the settled gangs and claims on the worker.
+	settledGangs int
+	cells        []*cell
 	// reserved is the starving job for which the worker is reserved; nil if there is none. Meanwhile other jobs that
 	// cannot be preempted start on the worker only in cells of their own organisations.
 	reserved *jobState
 	// claimed is the part of the shares' used resources that belongs to claims, which wait for evicted gangs to end.
 	claimed resources
+	// kept holds the free resources that are kept for jobs that are moved to the worker to empty others.
+	kept resources
 	// evicting holds the resources of the gangs that are being evicted and are still expected to end in time.
 	evicting resources
 	// Core.refresh computes the fields below from the fields above.
@@ -93,7 +97,8 @@
 	worker.shares = kept
 }
 
-// derive computes free, open and bindable. Free resources are held by no gang, claim or foreign lease. Open resources
+// derive computes free, open and bindable. Free resources are held by no gang, claim or foreign lease, and not kept for
+// a moved job. Open resources
 // are free, outside all cells and on a worker that is not reserved. Bindable resources may be covered by further cells.
 //
 // Jobs that cannot be preempted may hold resources beyond the cells of their organisations, but in sum at most those
@@ -107,6 +112,7 @@
 		free = free.minus(share.used)
 		uncovered = uncovered.minus(share.cell).minus(share.pinned.minus(share.cell).positive())
 	}
+	free = free.minus(worker.kept)
 	worker.free = free
 	worker.bindable = uncovered
 	worker.open = uncovered.atMost(free)
