Wait before a status is stored again that the store refuses

While the store refused the status of a job that had begun, each flush sent it again. TestRefusedStateIsNotStoredAgainAtOnce failed before (500 transactions in 10 s) and passes.

--- a/internal/control/begun_test.go
+++ b/internal/control/begun_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/quetzalstall/quetzalstall/internal/keyvalue"
 	"github.com/quetzalstall/quetzalstall/internal/ledger"
 	"github.com/quetzalstall/quetzalstall/pkg/fleet"
@@ -218,3 +220,19 @@
 	*store.most = max(*store.most, len(txn.Conditions)+len(txn.Writes)+len(txn.Deletes))
 	return 100, nil
 }
+
+// TestRefusedStateIsNotStoredAgainAtOnce guards against a transaction after the other while the store refuses the status of a
+// job that has begun.
+func TestRefusedStateIsNotStoredAgainAtOnce(t *testing.T) {
+	withStatusStore(t, func(loop *testLoop, _ *statusStore) {
+		refusing := &removalStore{err: errors.Wrap(keyvalue.ErrInvalid, "status 400")}
+		begun := loop.submit(1, unitStep)
+		loop.runFor(100 * time.Millisecond)
+		loop.Store = refusing
+		loop.noteBegun(begun, workload.TaskID{Job: begun.ID}, "test")
+		loop.runFor(2 * firstHold)
+		if refusing.commits == 0 || refusing.commits > 6 {
+			t.Errorf("%d transactions in %s, want 1 to 6", refusing.commits, 2*firstHold)
+		}
+	})
+}
--- a/internal/control/commit.go
+++ b/internal/control/commit.go
@@ -110,7 +110,7 @@
 			delete(loop.unpublished, job)
 			continue
 		}
-		if !job.removing && !job.writing {
+		if !job.removing && !job.writing && loop.clock() >= job.refusal.stateHeldUntil {
 			loop.addTo(current, job, loop.addStatus)
 		}
 	}
--- a/internal/control/refusal.go
+++ b/internal/control/refusal.go
@@ -25,6 +25,8 @@
 	heldUntil time.Duration
 	// room is the size up to which the record is filled; 0 means that it is not limited by a refusal.
 	room progress.Bytes
+	// stateHeldUntil is the time before which the status is not stored without the record, because the store refused that.
+	stateHeldUntil time.Duration
 }
 
 // held reports whether the job waits because its record was refused.
@@ -39,7 +41,13 @@
 		refused.job.refusal.alone = true
 	}
 	if len(batch.versions) == 1 {
-		loop.hold(batch.versions[0], cause)
+		only := batch.versions[0]
+		if only.record != nil {
+			loop.hold(only, cause)
+		} else {
+			only.job.refusal.stateHeldUntil = loop.clock() + firstHold
+			loop.Logger.Error("the store does not take the status of a job", "job", string(only.job.ID), "error", cause.Error())
+		}
 	}
 	loop.planNeeded = true
 }
