--- a/internal/control/begun_test.go
+++ b/internal/control/begun_test.go
@@ -76,53 +76,44 @@
 
 var unitStep = workload.Step{Tasks: 1, Each: workload.Resources{Millicores: 1000, Accelerators: 1}, Estimate: time.Second}
 
-// TestStateOfFormerPlacementIsCorrected guards against a job that stays shown as running because an earlier version stored
-// that state with the placement of its first task, of which no worker has shown anything.
-func TestStateOfFormerPlacementIsCorrected(t *testing.T) {
-	withStatusStore(t, func(loop *testLoop, store *statusStore) {
-		accepted := workload.Job{
-			ID: testJobID, Organisation: testOrganisation, Profile: "profile", Steps: []workload.Step{unitStep},
-			Accepted: time.Now(), Policy: workload.JobPolicy{Service: testService, Priority: 1, MaxAttempts: 3, Stretch: 3},
-		}
-		record := progress.New(accepted)
-		record.Place(accepted, progress.Unit{Tasks: []int{0}}, []progress.Location{{Worker: "w0000", Incarnation: 1}})
-		record.State = progress.Running
-		loop.pendingRecords[testJobID] = keyvalue.Item{
-			Key: ledger.RecordKey(testJobID), Value: ledger.Encode(record), Revision: 7,
-		}
-		loop.pendingStatuses[testJobID] = ledger.StatusEntry{
-			Status: ledger.Status{State: progress.Running, Profile: "profile"}, Revision: 7,
-		}
-		loop.addJob(accepted, 3)
-		loop.runFor(2 * time.Second)
-		if state := store.states[testJobID]; state != progress.Queued {
-			t.Errorf("2 s into the term the state %q was stored, want queued: no worker has listed the run", state)
-		}
-	})
-}
-
-// TestBegunRecordIsPublished guards against a job that stays shown as queued because only its record was stored as running.
-func TestBegunRecordIsPublished(t *testing.T) {
-	withStatusStore(t, func(loop *testLoop, store *statusStore) {
-		accepted := workload.Job{
-			ID: testJobID, Organisation: testOrganisation, Profile: "profile", Steps: []workload.Step{unitStep},
-			Accepted: time.Now(), Policy: workload.JobPolicy{Service: testService, Priority: 1, MaxAttempts: 3, Stretch: 3},
-		}
-		record := progress.New(accepted)
-		record.Place(accepted, progress.Unit{Tasks: []int{0}}, []progress.Location{{Worker: "w0000", Incarnation: 1}})
-		record.Begin()
-		loop.pendingRecords[testJobID] = keyvalue.Item{
-			Key: ledger.RecordKey(testJobID), Value: ledger.Encode(record), Revision: 7,
-		}
-		loop.pendingStatuses[testJobID] = ledger.StatusEntry{
-			Status: ledger.Status{State: progress.Queued, Profile: "profile"}, Revision: 7,
-		}
-		loop.addJob(accepted, 3)
-		loop.runFor(2 * time.Second)
-		if state := store.states[testJobID]; state != progress.Running {
-			t.Errorf("2 s into the term the state %q was stored, want running", state)
-		}
-	})
+// TestRestoredStateIsCorrected guards against a job that stays shown as running because an earlier version stored that state
+// with the placement of its first task, and against one that stays shown as queued because only its record was stored.
+func TestRestoredStateIsCorrected(t *testing.T) {
+	tests := []struct {
+		name string
+		// begin changes the record of a placed job.
+		begin         func(*progress.Record)
+		stored, right progress.State
+	}{
+		{"placed by an earlier version", func(record *progress.Record) { record.State = progress.Running },
+			progress.Running, progress.Queued},
+		{"begun, and only the record stored", func(record *progress.Record) { record.Begin() },
+			progress.Queued, progress.Running},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			withStatusStore(t, func(loop *testLoop, store *statusStore) {
+				accepted := workload.Job{
+					ID: testJobID, Organisation: testOrganisation, Profile: "profile", Steps: []workload.Step{unitStep},
+					Accepted: time.Now(), Policy: workload.JobPolicy{Service: testService, Priority: 1, MaxAttempts: 3, Stretch: 3},
+				}
+				record := progress.New(accepted)
+				record.Place(accepted, progress.Unit{Tasks: []int{0}}, []progress.Location{{Worker: "w0000", Incarnation: 1}})
+				test.begin(record)
+				loop.pendingRecords[testJobID] = keyvalue.Item{
+					Key: ledger.RecordKey(testJobID), Value: ledger.Encode(record), Revision: 7,
+				}
+				loop.pendingStatuses[testJobID] = ledger.StatusEntry{
+					Status: ledger.Status{State: test.stored, Profile: "profile"}, Revision: 7,
+				}
+				loop.addJob(accepted, 3)
+				loop.runFor(2 * time.Second)
+				if state := store.states[testJobID]; state != test.right {
+					t.Errorf("2 s into the term the state %q was stored, want %s", state, test.right)
+				}
+			})
+		})
+	}
 }
 
 // TestStateDoesNotHoldUpPlacements guards against tasks that start later because the store is storing nothing but the state
