--- a/internal/peer/membership_test.go
+++ b/internal/peer/membership_test.go
@@ -82,10 +82,14 @@
 func TestPausedOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cluster := newCluster(t, 7)
-		time.Sleep(5 * time.Second)
+		// A process that loses the race for a seat several times takes one after more than 5 s.
+		time.Sleep(15 * time.Second)
 		name := ownerOf(t, cluster, "a")
 		paused := cluster.processes[name]
-		seat, since, _ := paused.OwnSeat()
+		seat, since, seated := paused.OwnSeat()
+		if !seated {
+			t.Fatal("the owner has no seat before its pause")
+		}
 		paused.pause()
 		time.Sleep(10 * time.Second)
 		if owners := cluster.ownersOf("a", name); len(owners) != 1 || owners[fleet.VMID(name)] != 0 {
